--- /dev/null
+++ b/daemon/src/main/java/org/pimentovale/daemon/EndpointProbing.java
@@ -0,0 +1,57 @@
+package org.pimentovale.daemon;
+
+import io.vertx.core.Vertx;
+import java.util.HashSet;
+import java.util.Set;
+import org.pimentovale.daemon.endpoint.EndpointConnections;
+import org.pimentovale.daemon.endpoint.EndpointConnections.Preference;
+import org.pimentovale.daemon.endpoint.LoadProbe;
+import org.pimentovale.kernel.ServingTables;
+import org.pimentovale.kernel.endpoint.WarmEndpoint;
+import org.pimentovale.kernel.probe.ProbeSchedule;
+import org.pimentovale.kernel.schedule.PoolScheduler;
+
+/**
+ * Probes the endpoints of this instance's subsets within a budget, and holds a connection to each, whose end tells at
+ * once that the endpoint went away. Withdrawn endpoints are in no subset and are not probed. Not thread safe; used on one
+ * event loop.
+ */
+final class EndpointProbing {
+    private static final int PERIOD_MS = 10;
+    private static final int INTERVAL_MS = 1_000;
+    private static final int URGENT_INTERVAL_MS = 150;
+
+    private final Vertx vertx;
+    private final ServingTables tables;
+    private final EndpointConnections connections;
+    private final ProbeSchedule schedule;
+    private final Set<String> probing = new HashSet<>();
+
+    EndpointProbing(Vertx vertx, ServingTables tables, LoadProbe loadProbe, int probesPerSecond) {
+        this.vertx = vertx;
+        this.tables = tables;
+        this.connections = new EndpointConnections(vertx, loadProbe, tables);
+        this.schedule = new ProbeSchedule(probesPerSecond, INTERVAL_MS, URGENT_INTERVAL_MS);
+    }
+
+    void start() {
+        vertx.setPeriodic(PERIOD_MS, fired -> probeNext());
+    }
+
+    private void probeNext() {
+        Set<String> endpoints = new HashSet<>();
+        for (PoolScheduler scheduler : tables.schedulers()) {
+            scheduler.tick();
+            endpoints.addAll(scheduler.subset());
+        }
+        endpoints.removeAll(probing);
+        Set<String> inNeed = tables.warmth().unverified();
+        tables.warmth().coldEndpoints().stream().map(WarmEndpoint::address).forEach(inNeed::add);
+        schedule.next(endpoints, inNeed, tables.clock().nowMs()).ifPresent(this::probe);
+    }
+
+    private void probe(String address) {
+        probing.add(address);
+        connections.probe(address, Preference.ANY).onComplete(result -> probing.remove(address));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/pimentovale/daemon/MemberRegistration.java
@@ -0,0 +1,122 @@
+package org.pimentovale.daemon;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.jboss.logging.Logger;
+import org.pimentovale.daemon.claim.StoreHealth;
+import org.pimentovale.daemon.log.Events;
+import org.pimentovale.error.ServingException;
+import org.pimentovale.json.Json;
+import org.pimentovale.kernel.ServingTables;
+import org.pimentovale.kernel.membership.Member;
+import org.pimentovale.platform.Platform;
+import org.pimentovale.platform.PlatformInstance;
+import org.pimentovale.platform.StoredObject;
+
+/**
+ * Registers this instance in the store, learns of the others, and removes those that are gone.
+ *
+ * <p>One write at the start and one at the end; no renewals. Thread safe.
+ */
+final class MemberRegistration {
+    private static final Logger LOG = Logger.getLogger(MemberRegistration.class);
+    private static final String KIND = "entries";
+    private static final int REPEAT_MS = 500;
+    private static final int LIST_PERIOD_MS = 1_000;
+    private static final int LISTS_PER_PERIOD = 8;
+    private static final int LISTS_BEFORE_REMOVAL = 5;
+
+    private final Vertx vertx;
+    private final Platform platform;
+    private final StoreHealth health;
+    private final ServingTables tables;
+    private volatile boolean left;
+    private int lists;
+
+    MemberRegistration(Vertx vertx, Platform platform, StoreHealth health, ServingTables tables) {
+        this.vertx = vertx;
+        this.platform = platform;
+        this.health = health;
+        this.tables = tables;
+    }
+
+    void start() {
+        register();
+        refresh();
+    }
+
+    private void register() {
+        Member self = tables.members().self();
+        platform.objects().create(KIND, self.name(), Json.write(self)).onFailure(failure -> {
+            if (!left) {
+                vertx.setTimer(REPEAT_MS, fired -> register());
+            }
+        });
+    }
+
+    private void refresh() {
+        health.watch(platform.objects().list(KIND))
+                .onSuccess(this::takeOver)
+                .compose(listed -> platform.instances())
+                .onSuccess(this::takeLeaving)
+                .onComplete(result -> {
+                    int instances = tables.members().live().size();
+                    int periodMs = LIST_PERIOD_MS * Math.max(1, instances / LISTS_PER_PERIOD);
+                    vertx.setTimer(periodMs, fired -> refresh());
+                });
+    }
+
+    private void takeOver(List<StoredObject> objects) {
+        List<Member> registered = new ArrayList<>();
+        for (StoredObject object : objects) {
+            try {
+                registered.add(Json.read(object.value(), Member.class));
+            } catch (ServingException damaged) {
+                Events.warn(LOG, "member_damaged", "name", object.name(), "failure", damaged.getMessage());
+            }
+        }
+        tables.members().setRegistered(registered, tables.clock().nowMs());
+        lists++;
+        if (lists % LISTS_BEFORE_REMOVAL == 0) {
+            removeDead(objects);
+        }
+    }
+
+    /** The instance that a rendezvous prefers for the dead one's name removes its registration. */
+    private void removeDead(List<StoredObject> objects) {
+        Set<String> dead = tables.members().dead();
+        for (StoredObject object : objects) {
+            if (dead.contains(object.name()) && tables.members().rank(object.name()) == 0) {
+                platform.objects().delete(KIND, object.name(), object.version());
+                Events.info(LOG, "member_removed", "member", object.name());
+            }
+        }
+    }
+
+    private void takeLeaving(List<PlatformInstance> instances) {
+        Set<String> leaving = new HashSet<>();
+        for (PlatformInstance instance : instances) {
+            if (instance.leaving()) {
+                leaving.add(instance.address());
+            }
+        }
+        tables.setLeaving(leaving);
+    }
+
+    /** Removes the registration, as far as the store answers. */
+    Future<Void> leave() {
+        left = true;
+        String name = tables.members().self().name();
+        return platform.objects()
+                .read(KIND, name)
+                .compose(found -> found.map(object -> platform.objects()
+                                .delete(KIND, name, object.version())
+                                .<Void>mapEmpty())
+                        .orElseGet(Future::succeededFuture))
+                .otherwiseEmpty();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/AnswerWriter.java
@@ -0,0 +1,146 @@
+package org.pimentovale.daemon.caller;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.Map;
+import org.pimentovale.error.ServingException;
+import org.pimentovale.json.Json;
+
+/**
+ * Writes one answer to a caller, as JSON or as server-sent events.
+ *
+ * <p>Invariant: a stream ends cleanly only after its {@code done} event; after a failure the connection is closed without
+ * the end of the body, so that the caller's client sees it. Not thread safe; used on the request's event loop.
+ */
+final class AnswerWriter {
+    private static final long MS_PER_S = 1_000;
+
+    private final Vertx vertx;
+    private final HttpServerResponse response;
+    private final CallerRequest request;
+    private final long stallMs;
+    private final Runnable callerStalled;
+    private boolean headSent;
+    private boolean ended;
+    private long stallTimer = -1;
+
+    /** One piece of text of a streamed answer. */
+    private record Delta(String text) {}
+
+    AnswerWriter(
+            Vertx vertx, HttpServerResponse response, CallerRequest request, long stallMs, Runnable callerStalled) {
+        this.vertx = vertx;
+        this.response = response;
+        this.request = request;
+        this.stallMs = stallMs;
+        this.callerStalled = callerStalled;
+    }
+
+    /** Returns whether any part of the answer was passed to the caller. */
+    boolean begun() {
+        return headSent;
+    }
+
+    /** Passes a piece of text on. */
+    void delta(String text) {
+        if (ended || !request.streamed()) {
+            return;
+        }
+        sendStreamHead();
+        writeEvent("delta", Json.write(new Delta(text)));
+    }
+
+    /** Returns whether the caller reads more slowly than the answer comes. */
+    boolean full() {
+        return !ended && response.writeQueueFull();
+    }
+
+    /** Calls back once the caller has caught up; a caller that never does counts as gone. */
+    void whenDrained(Runnable resume) {
+        stallTimer = vertx.setTimer(stallMs, fired -> callerStalled.run());
+        response.drainHandler(drained -> {
+            vertx.cancelTimer(stallTimer);
+            resume.run();
+        });
+    }
+
+    void complete(int status, Map<String, com.fasterxml.jackson.databind.JsonNode> results) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        var last = results.values().stream().reduce((left, right) -> right).orElse(request.body());
+        byte[] answer =
+                Json.write(new Answer(request.identifier(), request.route().kind(), last, results));
+        if (request.streamed()) {
+            sendStreamHead();
+            writeEvent("done", answer);
+            response.end();
+            return;
+        }
+        response.setStatusCode(status)
+                .putHeader("Content-Type", "application/json")
+                .putHeader("X-Request-Id", request.identifier())
+                .end(Buffer.buffer(answer));
+    }
+
+    void fail(ServingException failure, long retryAfterMs) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        if (response.closed()) {
+            return;
+        }
+        if (headSent) {
+            writeEvent("error", Json.write(Problem.of(failure, request.identifier())));
+            response.reset();
+            return;
+        }
+        writeProblem(response, failure, request.identifier(), retryAfterMs);
+    }
+
+    /** Ends the answer of a caller that has left. */
+    void abandon() {
+        ended = true;
+        if (stallTimer >= 0) {
+            vertx.cancelTimer(stallTimer);
+        }
+        if (!response.closed() && !response.ended()) {
+            response.reset();
+        }
+    }
+
+    static void writeProblem(
+            HttpServerResponse response, ServingException failure, String requestIdentifier, long retryAfterMs) {
+        if (response.closed() || response.ended()) {
+            return;
+        }
+        int status = failure.code().status();
+        response.setStatusCode(status)
+                .putHeader("Content-Type", Problem.MEDIA_TYPE)
+                .putHeader("X-Request-Id", requestIdentifier);
+        if (retryAfterMs > 0) {
+            response.putHeader("Retry-After", Long.toString((retryAfterMs + MS_PER_S - 1) / MS_PER_S));
+        }
+        response.end(Buffer.buffer(Json.write(Problem.of(failure, requestIdentifier))));
+    }
+
+    private void sendStreamHead() {
+        if (headSent) {
+            return;
+        }
+        headSent = true;
+        response.setChunked(true)
+                .setStatusCode(200)
+                .putHeader("Content-Type", "text/event-stream")
+                .putHeader("Cache-Control", "no-store")
+                .putHeader("X-Request-Id", request.identifier());
+    }
+
+    private void writeEvent(String name, byte[] data) {
+        response.write(
+                Buffer.buffer("event: " + name + "\ndata: ").appendBytes(data).appendString("\n\n"));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/CallerListener.java
@@ -0,0 +1,137 @@
+package org.pimentovale.daemon.caller;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Clock;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import org.pimentovale.daemon.endpoint.EndpointConnections;
+import org.pimentovale.daemon.endpoint.LoadProbe;
+import org.pimentovale.daemon.http.BodyReader;
+import org.pimentovale.daemon.http.Listeners;
+import org.pimentovale.daemon.log.Events;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+
+/**
+ * One worker: an event loop that serves callers, with its own connections to endpoints, over the shared tables. Not
+ * thread safe; used on its event loop.
+ */
+public final class CallerListener extends VerticleBase {
+    private static final Logger LOG = Logger.getLogger(CallerListener.class);
+    private static final String REQUESTS_PATH = "/v1/requests/";
+
+    private final PipelineServices services;
+    private final LoadProbe loadProbe;
+    private final InstanceState state;
+    private final RequestValidator validator;
+    private final BodyReader bodyReader;
+    private EndpointConnections connections;
+    private Context workerContext;
+
+    /**
+     * Creates a worker.
+     *
+     * @param services what all requests share
+     * @param loadProbe reads the endpoints' reports
+     * @param state tells whether new requests are taken
+     * @param wallClock tells the age of idempotency keys
+     */
+    public CallerListener(PipelineServices services, LoadProbe loadProbe, InstanceState state, Clock wallClock) {
+        this.services = services;
+        this.loadProbe = loadProbe;
+        this.state = state;
+        this.validator = new RequestValidator(
+                services.tables(), wallClock, services.settings().keyRetentionHours());
+        this.bodyReader = new BodyReader(services.vertx(), services.settings().bodyLimitBytes());
+    }
+
+    @Override
+    public Future<?> start() {
+        workerContext = super.context;
+        connections = new EndpointConnections(services.vertx(), loadProbe, services.tables());
+        return services.vertx()
+                .createHttpServer(Listeners.options(services.settings().callers()))
+                .requestHandler(this::handle)
+                .listen()
+                .onSuccess(this::listening);
+    }
+
+    private void listening(HttpServer server) {
+        state.setCallerPort(server.actualPort());
+        Events.info(LOG, "callers_listening", "port", server.actualPort());
+    }
+
+    private void handle(HttpServerRequest http) {
+        String path = http.path();
+        if (http.method() == HttpMethod.GET && path.equals("/live")) {
+            http.response().end("live\n");
+        } else if (http.method() == HttpMethod.GET && path.equals("/ready")) {
+            Optional<ErrorCode> objection = state.readinessObjection();
+            http.response()
+                    .setStatusCode(objection.isEmpty() ? 200 : 503)
+                    .end(objection.map(ErrorCode::label).orElse("ready") + "\n");
+        } else if (http.method() == HttpMethod.POST && path.startsWith(REQUESTS_PATH)) {
+            serve(http, path.substring(REQUESTS_PATH.length()));
+        } else {
+            refuse(http, ServingException.notRun(ErrorCode.KIND_UNKNOWN, http.method() + " " + path), "none");
+        }
+    }
+
+    private void serve(HttpServerRequest http, String kind) {
+        long arrivedMs = services.tables().clock().nowMs();
+        String identifier = identifier();
+        Optional<ErrorCode> objection = state.admissionObjection();
+        if (objection.isPresent()) {
+            refuse(http, ServingException.notRun(objection.get(), "not taking requests"), identifier);
+            return;
+        }
+        state.requestStarted();
+        services.metrics().requestStarted();
+        bodyReader
+                .read(http)
+                .map(bytes -> validator.validate(http, kind, identifier, bytes, arrivedMs))
+                .onSuccess(request -> new RequestRun(
+                                services, connections, workerContext, request, http.response(), this::requestEnded)
+                        .start())
+                .onFailure(failure -> {
+                    refuse(
+                            http,
+                            failure instanceof ServingException known
+                                    ? known
+                                    : ServingException.notRun(ErrorCode.INTERNAL, String.valueOf(failure)),
+                            identifier);
+                    requestEnded();
+                });
+    }
+
+    private void requestEnded() {
+        services.metrics().requestEnded();
+        state.requestEnded();
+    }
+
+    private void refuse(HttpServerRequest http, ServingException failure, String identifier) {
+        services.metrics().refused(failure.code(), failure.outcome());
+        Events.info(
+                LOG,
+                "request_refused",
+                "request",
+                identifier,
+                "code",
+                failure.code().label(),
+                "outcome",
+                failure.outcome().label(),
+                "detail",
+                failure.getMessage());
+        long retryAfterMs = failure.code().status() == 503 ? 1_000 : 0;
+        AnswerWriter.writeProblem(http.response(), failure, identifier, retryAfterMs);
+    }
+
+    private String identifier() {
+        return String.format("%016x", services.random().nextLong());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/EndpointNews.java
@@ -0,0 +1,21 @@
+package org.pimentovale.daemon.caller;
+
+import org.pimentovale.kernel.endpoint.WarmEndpoint;
+
+/** Is told what requests find out about endpoints and other instances should learn. Implementations are thread safe. */
+public interface EndpointNews {
+    /**
+     * An incarnation became warm.
+     *
+     * @param endpoint the endpoint and its incarnation
+     */
+    void becameWarm(WarmEndpoint endpoint);
+
+    /**
+     * An endpoint was lost while a request ran.
+     *
+     * @param fingerprint the request's fingerprint
+     * @param endpoint address and incarnation
+     */
+    void lostWhileRunning(String fingerprint, String endpoint);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/pimentovale/daemon/configuration/ConfigurationWatch.java
@@ -0,0 +1,141 @@
+package org.pimentovale.daemon.configuration;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.jboss.logging.Logger;
+import org.pimentovale.daemon.claim.StoreHealth;
+import org.pimentovale.daemon.log.Events;
+import org.pimentovale.daemon.metric.DaemonMetrics;
+import org.pimentovale.error.ServingException;
+import org.pimentovale.kernel.ServingTables;
+import org.pimentovale.platform.ObjectStore;
+import org.pimentovale.platform.StoredObject;
+import org.pimentovale.table.Configuration;
+
+/**
+ * Brings accepted configurations from the store into force.
+ *
+ * <p>A watch brings them at once; since a watch may go silent, a read at a bounded rate over all instances finds what a
+ * watch missed, and the first instance to find it tells the others. Invariant: a value that cannot be read changes
+ * nothing. Thread safe.
+ */
+public final class ConfigurationWatch {
+    /** The kind of the stored configuration. */
+    public static final String KIND = "configuration";
+
+    /** The name of the stored configuration. */
+    public static final String NAME = "current";
+
+    private static final Logger LOG = Logger.getLogger(ConfigurationWatch.class);
+    private static final int WATCH_MS = 10_000;
+    private static final int REPEAT_MS = 200;
+    private static final int READ_PERIOD_MS = 1_000;
+    private static final int READS_PER_PERIOD = 16;
+
+    private final Vertx vertx;
+    private final ObjectStore store;
+    private final StoreHealth health;
+    private final ServingTables tables;
+    private final DaemonMetrics metrics;
+    private final RandomGenerator random;
+    private volatile long storedVersion;
+    private volatile long damagedVersion;
+
+    /**
+     * Creates a watch that is not started.
+     *
+     * @param vertx runs timers
+     * @param store holds the configuration
+     * @param health is told how calls end
+     * @param tables the shared tables
+     * @param metrics counts calls without an answer
+     * @param random spreads the reads of several instances; thread safe
+     */
+    public ConfigurationWatch(
+            Vertx vertx,
+            ObjectStore store,
+            StoreHealth health,
+            ServingTables tables,
+            DaemonMetrics metrics,
+            RandomGenerator random) {
+        this.vertx = vertx;
+        this.store = store;
+        this.health = health;
+        this.tables = tables;
+        this.metrics = metrics;
+        this.random = random;
+    }
+
+    /** Begins to watch and to read. */
+    public void start() {
+        watch();
+        read();
+    }
+
+    private void watch() {
+        store.awaitChange(KIND, NAME, storedVersion, WATCH_MS).onComplete(result -> {
+            if (result.succeeded()) {
+                result.result().ifPresent(this::offer);
+                vertx.runOnContext(run -> watch());
+            } else {
+                metrics.storeFailed("watch");
+                vertx.setTimer(REPEAT_MS + random.nextInt(REPEAT_MS), fired -> watch());
+            }
+        });
+    }
+
+    private void read() {
+        health.watch(store.read(KIND, NAME)).onComplete(result -> {
+            if (result.succeeded()) {
+                result.result().ifPresent(this::offer);
+            } else {
+                metrics.storeFailed("read");
+            }
+            int instances = tables.members().live().size();
+            int periodMs = READ_PERIOD_MS * Math.max(1, instances / READS_PER_PERIOD);
+            vertx.setTimer(periodMs / 2 + random.nextInt(periodMs), fired -> read());
+        });
+    }
+
+    private void offer(StoredObject stored) {
+        if (stored.version() == damagedVersion) {
+            return;
+        }
+        try {
+            Configuration configuration = Configuration.parse(stored.value());
+            storedVersion = Math.max(storedVersion, stored.version());
+            if (tables.configuration().offer(configuration)) {
+                Events.info(LOG, "configuration_in_force", "revision", configuration.revision(), "source", "store");
+            }
+        } catch (ServingException damaged) {
+            damagedVersion = stored.version();
+            storedVersion = Math.max(storedVersion, stored.version());
+            metrics.storeFailed("damaged");
+            Events.warn(
+                    LOG,
+                    "configuration_damaged",
+                    "version",
+                    stored.version(),
+                    "failure",
+                    damaged.getMessage(),
+                    "in_force",
+                    tables.configuration().revision());
+        }
+    }
+
+    /**
+     * Puts tables in force where the store holds no configuration yet.
+     *
+     * @param first the first configuration
+     * @param bytes its stored form
+     * @return completes once the store answered
+     */
+    public Future<Void> createIfAbsent(Configuration first, byte[] bytes) {
+        Optional<Configuration> inForce = tables.configuration().inForce();
+        return inForce.isPresent()
+                ? Future.succeededFuture()
+                : store.create(KIND, NAME, bytes).mapEmpty();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/pimentovale/daemon/endpoint/StageExchange.java
@@ -0,0 +1,255 @@
+package org.pimentovale.daemon.endpoint;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.pimentovale.daemon.protocol.AnswerReader;
+import org.pimentovale.daemon.protocol.StageProtocol;
+import org.pimentovale.daemon.protocol.StageRequest;
+import org.pimentovale.daemon.protocol.StageResult;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+import org.pimentovale.table.Pool;
+
+/**
+ * One call of an endpoint over one connection.
+ *
+ * <p>Invariants: the result is completed once, and nothing that arrives later reaches anybody; the connection goes back
+ * only after the endpoint ended a whole answer, and is closed in every other case. Not thread safe; used on the event
+ * loop of its connection.
+ */
+public final class StageExchange {
+    private static final int TRAILING_BODY_MS = 500;
+    private static final String ECHO_HEADER = "X-Request-Id";
+
+    private final Vertx vertx;
+    private final EndpointConnections connections;
+    private final EndpointConnection connection;
+    private final Pool pool;
+    private final StageProtocol protocol;
+    private final StageRequest stageRequest;
+    private final Consumer<String> deltas;
+    private final Optional<Long> fencingToken;
+    private final Promise<StageResult> promise = Promise.promise();
+    private HttpClientResponse response;
+    private AnswerReader reader;
+    private boolean paused;
+    private boolean returned;
+    private long progressTimer = -1;
+
+    /**
+     * Creates an exchange.
+     *
+     * @param vertx runs timers
+     * @param connections takes the connection back
+     * @param connection the connection
+     * @param pool the endpoint's pool
+     * @param protocol how the endpoint is called
+     * @param stageRequest what is asked
+     * @param deltas is told each piece of text of a streamed answer
+     * @param fencingToken the number of the lease under which the call is made
+     */
+    public StageExchange(
+            Vertx vertx,
+            EndpointConnections connections,
+            EndpointConnection connection,
+            Pool pool,
+            StageProtocol protocol,
+            StageRequest stageRequest,
+            Consumer<String> deltas,
+            Optional<Long> fencingToken) {
+        this.vertx = vertx;
+        this.connections = connections;
+        this.connection = connection;
+        this.pool = pool;
+        this.protocol = protocol;
+        this.stageRequest = stageRequest;
+        this.deltas = deltas;
+        this.fencingToken = fencingToken;
+    }
+
+    /**
+     * Sends the call.
+     *
+     * @return the whole answer, or the failure with its code; {@link ErrorCode#CONNECT_FAILED} where nothing was sent
+     */
+    public Future<StageResult> send() {
+        Buffer body = Buffer.buffer(protocol.body(stageRequest));
+        connection
+                .connection()
+                .request(options())
+                .onSuccess(request -> sendOn(request, body))
+                .onFailure(failure ->
+                        fail(ServingException.notRun(ErrorCode.CONNECT_FAILED, "connection closed before the call")));
+        return promise.future();
+    }
+
+    private RequestOptions options() {
+        RequestOptions options = new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setURI(protocol.path(stageRequest))
+                .putHeader("Content-Type", "application/json")
+                .putHeader(ECHO_HEADER, stageRequest.attemptIdentifier())
+                .putHeader("Request-Timeout-Ms", Long.toString(stageRequest.remainingMs()));
+        stageRequest.idempotencyKey().ifPresent(key -> options.putHeader("Idempotency-Key", key));
+        stageRequest.traceparent().ifPresent(trace -> options.putHeader("traceparent", trace));
+        fencingToken.ifPresent(token -> options.putHeader("Fencing-Token", token.toString()));
+        return options;
+    }
+
+    private void sendOn(HttpClientRequest request, Buffer body) {
+        if (promise.future().isComplete()) {
+            return;
+        }
+        restartProgressTimer();
+        request.send(body).onSuccess(this::receive).onFailure(failure -> fail(lost(failure)));
+    }
+
+    private void receive(HttpClientResponse head) {
+        if (promise.future().isComplete()) {
+            return;
+        }
+        response = head;
+        String echoed = head.getHeader(ECHO_HEADER);
+        if (echoed != null && !echoed.equals(stageRequest.attemptIdentifier())) {
+            fail(ServingException.unknown(ErrorCode.ANSWER_MISMATCHED, "answer of " + echoed));
+            return;
+        }
+        int status = head.statusCode();
+        if (pool.refusalStatuses().contains(status)) {
+            endWithFailure(ServingException.notRun(ErrorCode.ENDPOINT_REFUSED, "status " + status));
+            return;
+        }
+        boolean ownAnswer = status < 300
+                || (status < 500 && status >= 400 && protocol.name().equals("service"));
+        if (!ownAnswer) {
+            endWithFailure(ServingException.unknown(ErrorCode.ENDPOINT_FAILED, "status " + status));
+            return;
+        }
+        reader = protocol.reader(stageRequest, status, deltas);
+        head.exceptionHandler(failure -> fail(lost(failure)));
+        head.handler(this::accept);
+        head.endHandler(ended -> finish());
+    }
+
+    private static ServingException lost(Throwable failure) {
+        return ServingException.unknown(ErrorCode.CONNECTION_LOST, String.valueOf(failure.getMessage()));
+    }
+
+    private void endWithFailure(ServingException failure) {
+        response.body().onComplete(read -> {
+            if (read.succeeded() && promise.tryFail(failure)) {
+                stopProgressTimer();
+                giveBack();
+            } else {
+                fail(failure);
+            }
+        });
+    }
+
+    private void accept(Buffer chunk) {
+        if (promise.future().isComplete()) {
+            return;
+        }
+        restartProgressTimer();
+        try {
+            reader.accept(chunk);
+        } catch (ServingException failure) {
+            fail(failure);
+            return;
+        }
+        if (reader.terminated()) {
+            complete();
+        }
+    }
+
+    private void finish() {
+        if (!promise.future().isComplete()) {
+            complete();
+        }
+        giveBack();
+    }
+
+    private void complete() {
+        try {
+            StageResult result = reader.finish();
+            stopProgressTimer();
+            promise.tryComplete(result);
+            vertx.setTimer(TRAILING_BODY_MS, fired -> {
+                if (!returned) {
+                    discard();
+                }
+            });
+        } catch (ServingException failure) {
+            fail(failure);
+        }
+    }
+
+    private void fail(ServingException failure) {
+        stopProgressTimer();
+        discard();
+        promise.tryFail(failure);
+    }
+
+    private void giveBack() {
+        if (!returned) {
+            returned = true;
+            connections.giveBack(connection);
+        }
+    }
+
+    private void discard() {
+        if (!returned) {
+            returned = true;
+            connections.discard(connection);
+        }
+    }
+
+    /** Abandons the call: the endpoint sees its connection closed, and nothing that it still sends is read. */
+    public void cancel() {
+        fail(ServingException.unknown(ErrorCode.CALLER_LEFT, "abandoned"));
+    }
+
+    /** Stops reading from the endpoint, while the caller does not keep up. */
+    public void pause() {
+        if (response != null && !paused && !promise.future().isComplete()) {
+            paused = true;
+            stopProgressTimer();
+            response.pause();
+        }
+    }
+
+    /** Goes on reading from the endpoint. */
+    public void resume() {
+        if (paused) {
+            paused = false;
+            restartProgressTimer();
+            response.resume();
+        }
+    }
+
+    private void restartProgressTimer() {
+        stopProgressTimer();
+        if (!paused) {
+            progressTimer = vertx.setTimer(pool.progressTimeoutMs(), fired -> {
+                progressTimer = -1;
+                fail(ServingException.unknown(
+                        ErrorCode.PROGRESS_TIMEOUT, "silent for " + pool.progressTimeoutMs() + " ms"));
+            });
+        }
+    }
+
+    private void stopProgressTimer() {
+        if (progressTimer >= 0) {
+            vertx.cancelTimer(progressTimer);
+            progressTimer = -1;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/pimentovale/daemon/http/Listeners.java
@@ -0,0 +1,37 @@
+package org.pimentovale.daemon.http;
+
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.net.PemKeyCertOptions;
+import java.util.concurrent.TimeUnit;
+import org.pimentovale.daemon.settings.ListenerSettings;
+
+/** Builds the options of the daemon's listeners. Stateless and thread safe. */
+public final class Listeners {
+    private static final int LARGEST_HEADER_BYTES = 16 << 10;
+    private static final int LARGEST_REQUEST_LINE_BYTES = 4 << 10;
+    private static final int IDLE_TIMEOUT_S = 120;
+
+    private Listeners() {}
+
+    /**
+     * Returns the options of a listener.
+     *
+     * @param settings the listener's settings
+     * @return the options, with TLS where the settings name a certificate
+     */
+    public static HttpServerOptions options(ListenerSettings settings) {
+        HttpServerOptions options = new HttpServerOptions()
+                .setHost(settings.host())
+                .setPort(settings.port())
+                .setMaxHeaderSize(LARGEST_HEADER_BYTES)
+                .setMaxInitialLineLength(LARGEST_REQUEST_LINE_BYTES)
+                .setIdleTimeout(IDLE_TIMEOUT_S)
+                .setIdleTimeoutUnit(TimeUnit.SECONDS)
+                .setTcpNoDelay(true);
+        settings.certificateFile().ifPresent(certificate -> options.setSsl(true)
+                .setKeyCertOptions(new PemKeyCertOptions()
+                        .setCertPath(certificate)
+                        .setKeyPath(settings.privateKeyFile().orElseThrow())));
+        return options;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/pimentovale/daemon/operator/OperatorListener.java
@@ -0,0 +1,146 @@
+package org.pimentovale.daemon.operator;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
+import org.jboss.logging.Logger;
+import org.pimentovale.daemon.caller.InstanceState;
+import org.pimentovale.daemon.caller.Problem;
+import org.pimentovale.daemon.http.AccessKey;
+import org.pimentovale.daemon.http.BodyReader;
+import org.pimentovale.daemon.log.Events;
+import org.pimentovale.daemon.metric.DaemonMetrics;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+import org.pimentovale.json.Json;
+import org.pimentovale.kernel.ServingTables;
+import org.pimentovale.kernel.membership.Member;
+import org.pimentovale.kernel.schedule.EndpointView;
+import org.pimentovale.table.Configuration;
+
+/**
+ * Answers operators and their tool: what is in force, endpoints, members, metrics; and takes accepted configurations.
+ * Invariant: a call without the key changes nothing. Thread safe.
+ */
+public final class OperatorListener {
+    private static final Logger LOG = Logger.getLogger(OperatorListener.class);
+    private static final int LARGEST_BODY_BYTES = 1 << 20;
+
+    private final ServingTables tables;
+    private final InstanceState state;
+    private final AccessKey key;
+    private final DaemonMetrics metrics;
+    private final BodyReader bodyReader;
+
+    /**
+     * What an instance says of itself.
+     *
+     * @param self the instance
+     * @param revision the revision in force
+     * @param ready whether the balancer should send it requests
+     * @param reason why not, or {@code ready}
+     * @param running the number of running requests
+     * @param live the live instances that it knows of, with itself
+     */
+    public record InstanceView(
+            Member self, long revision, boolean ready, String reason, int running, List<Member> live) {}
+
+    /**
+     * Creates a listener that is not open yet.
+     *
+     * @param vertx runs it
+     * @param tables the shared tables
+     * @param state the instance's state
+     * @param key the key that operators must send
+     * @param metrics is rendered
+     */
+    public OperatorListener(
+            Vertx vertx, ServingTables tables, InstanceState state, AccessKey key, DaemonMetrics metrics) {
+        this.tables = tables;
+        this.state = state;
+        this.key = key;
+        this.metrics = metrics;
+        this.bodyReader = new BodyReader(vertx, LARGEST_BODY_BYTES);
+    }
+
+    /**
+     * Answers one request of an operator.
+     *
+     * @param http the request
+     */
+    public void handle(HttpServerRequest http) {
+        if (!key.admits(http)) {
+            refuse(http, ServingException.notRun(ErrorCode.UNAUTHORISED, "operator listener"));
+            return;
+        }
+        String route = http.method() + " " + http.path();
+        switch (route) {
+            case "GET /metrics" ->
+                http.response()
+                        .putHeader("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+                        .end(Buffer.buffer(metrics.render()));
+            case "GET /v1/instance" -> answer(http, instanceView());
+            case "GET /v1/endpoints" -> answer(http, endpointViews());
+            case "GET /v1/configuration" ->
+                answer(http, tables.configuration().inForce().orElse(Configuration.NONE));
+            case "POST /v1/configuration" -> takeConfiguration(http);
+            default -> refuse(http, ServingException.notRun(ErrorCode.KIND_UNKNOWN, route));
+        }
+    }
+
+    private InstanceView instanceView() {
+        return new InstanceView(
+                tables.members().self(),
+                tables.configuration().revision(),
+                state.readinessObjection().isEmpty(),
+                state.readinessObjection().map(ErrorCode::label).orElse("ready"),
+                state.running(),
+                tables.members().live());
+    }
+
+    private List<EndpointView> endpointViews() {
+        return tables.schedulers().stream()
+                .flatMap(scheduler -> scheduler.views().stream())
+                .toList();
+    }
+
+    /** The operators' tool passes on what the store has accepted, so that an outage right after it does no harm. */
+    private void takeConfiguration(HttpServerRequest http) {
+        if (http.method() != HttpMethod.POST) {
+            return;
+        }
+        bodyReader
+                .read(http)
+                .map(body -> Configuration.parse(body.getBytes()))
+                .onSuccess(configuration -> {
+                    if (tables.configuration().offer(configuration)) {
+                        Events.info(
+                                LOG,
+                                "configuration_in_force",
+                                "revision",
+                                configuration.revision(),
+                                "source",
+                                "operator");
+                    }
+                    answer(http, instanceView());
+                })
+                .onFailure(failure -> refuse(
+                        http,
+                        failure instanceof ServingException known
+                                ? known
+                                : ServingException.notRun(ErrorCode.MALFORMED_BODY, failure.getMessage())));
+    }
+
+    private static void answer(HttpServerRequest http, Object value) {
+        http.response().putHeader("Content-Type", "application/json").end(Buffer.buffer(Json.write(value)));
+    }
+
+    private static void refuse(HttpServerRequest http, ServingException failure) {
+        http.response()
+                .setStatusCode(failure.code().status())
+                .putHeader("Content-Type", Problem.MEDIA_TYPE)
+                .end(Buffer.buffer(Json.write(Problem.of(failure, "none"))));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/pimentovale/daemon/protocol/ServiceStageProtocol.java
@@ -0,0 +1,69 @@
+package org.pimentovale.daemon.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.buffer.Buffer;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+import org.pimentovale.json.Json;
+
+/** Calls a plain service: one JSON object there, one back. Stateless and thread safe. */
+public final class ServiceStageProtocol implements StageProtocol {
+    private static final int MAXIMUM_ANSWER_BYTES = 4 << 20;
+
+    /** The body of a call. */
+    private record Call(String requestId, String stage, JsonNode input, Map<String, JsonNode> results) {}
+
+    /** Collects the body up to its limit. */
+    private static final class BodyReader implements AnswerReader {
+        private final int status;
+        private final Buffer body = Buffer.buffer();
+
+        private BodyReader(int status) {
+            this.status = status;
+        }
+
+        @Override
+        public void accept(Buffer chunk) {
+            if (body.length() + chunk.length() > MAXIMUM_ANSWER_BYTES) {
+                throw ServingException.unknown(ErrorCode.ENDPOINT_FAILED, "answer over " + MAXIMUM_ANSWER_BYTES);
+            }
+            body.appendBuffer(chunk);
+        }
+
+        @Override
+        public boolean terminated() {
+            return false;
+        }
+
+        @Override
+        public StageResult finish() {
+            try {
+                return new StageResult(status, Json.readTree(body.getBytes()));
+            } catch (ServingException malformed) {
+                throw ServingException.unknown(ErrorCode.STREAM_TRUNCATED, "the service's answer is no JSON");
+            }
+        }
+    }
+
+    @Override
+    public String name() {
+        return "service";
+    }
+
+    @Override
+    public String path(StageRequest request) {
+        return "/v1/stages/" + request.stage();
+    }
+
+    @Override
+    public byte[] body(StageRequest request) {
+        return Json.write(new Call(request.requestIdentifier(), request.stage(), request.input(), request.results()));
+    }
+
+    @Override
+    public AnswerReader reader(StageRequest request, int status, Consumer<String> deltas) {
+        return new BodyReader(status);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/pimentovale/kernel/ServingTables.java
@@ -0,0 +1,237 @@
+package org.pimentovale.kernel;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongFunction;
+import java.util.random.RandomGenerator;
+import org.pimentovale.kernel.configuration.ConfigurationTable;
+import org.pimentovale.kernel.endpoint.LoadReport;
+import org.pimentovale.kernel.endpoint.WarmthTable;
+import org.pimentovale.kernel.endpoint.WarmupRule;
+import org.pimentovale.kernel.membership.MemberTable;
+import org.pimentovale.kernel.retry.RetryBudget;
+import org.pimentovale.kernel.routing.RoutingPolicy;
+import org.pimentovale.kernel.schedule.PoolScheduler;
+import org.pimentovale.kernel.schedule.SchedulerSurroundings;
+import org.pimentovale.kernel.suspect.SuspectTable;
+import org.pimentovale.kernel.time.MonotonicClock;
+import org.pimentovale.table.Configuration;
+import org.pimentovale.table.Pool;
+import org.pimentovale.table.Route;
+import org.pimentovale.table.Stage;
+
+/**
+ * The shared tables on which all workers of an instance decide.
+ *
+ * <p>Invariant: there is one scheduler for each pool of the configuration in force, and it has seen that configuration.
+ * Thread safe; lock order: configuration table, this object's monitor, a pool's scheduler, then the leaves (warmth,
+ * members, suspects, budgets).
+ */
+public final class ServingTables {
+    private static final double RETRY_SHARE = 0.1;
+    private static final double RETRY_BURST = 10;
+    private static final int SUSPECT_CAPACITY = 10_000;
+
+    private final ConfigurationTable configuration = new ConfigurationTable();
+    private final WarmthTable warmth = new WarmthTable();
+    private final SuspectTable suspects = new SuspectTable(SUSPECT_CAPACITY);
+    private final Map<String, PoolScheduler> schedulers = new ConcurrentHashMap<>();
+    private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
+    private final MonotonicClock clock;
+    private final LongFunction<RandomGenerator> randomOfPool;
+    private final RoutingPolicy policy;
+    private final MemberTable members;
+    private final int queueLimit;
+    private Set<String> leavingAddresses = Set.of();
+    private int instances = 1;
+
+    /**
+     * Creates tables without a configuration.
+     *
+     * @param clock the time
+     * @param randomOfPool gives each pool a source of randomness of its own, by a number
+     * @param policy chooses among free endpoints
+     * @param members the entry instances
+     * @param queueLimit the largest number of waiting requests of a pool
+     */
+    public ServingTables(
+            MonotonicClock clock,
+            LongFunction<RandomGenerator> randomOfPool,
+            RoutingPolicy policy,
+            MemberTable members,
+            int queueLimit) {
+        this.clock = clock;
+        this.randomOfPool = randomOfPool;
+        this.policy = policy;
+        this.members = members;
+        this.queueLimit = queueLimit;
+        configuration.addListener(this::apply);
+    }
+
+    private synchronized void apply(Configuration inForce) {
+        Map<String, WarmupRule> rules = new HashMap<>();
+        for (Pool pool : inForce.tables().pools()) {
+            WarmupRule rule = new WarmupRule(pool.coldLimit(), pool.warmAfterRequests(), pool.warmAfterMs());
+            pool.endpoints().forEach(endpoint -> rules.merge(endpoint.address(), rule, ServingTables::stricter));
+        }
+        warmth.retain(rules);
+        schedulers.keySet().removeIf(name -> inForce.tables().pool(name).isEmpty());
+        for (Pool pool : inForce.tables().pools()) {
+            PoolScheduler scheduler = schedulers.get(pool.name());
+            if (scheduler != null) {
+                scheduler.apply(pool, surroundings(inForce));
+                continue;
+            }
+            RandomGenerator random = randomOfPool.apply(pool.name().hashCode());
+            schedulers.put(
+                    pool.name(),
+                    new PoolScheduler(pool, surroundings(inForce), policy, clock, random, warmth, queueLimit));
+        }
+    }
+
+    private static WarmupRule stricter(WarmupRule left, WarmupRule right) {
+        return left.coldLimit() <= right.coldLimit() ? left : right;
+    }
+
+    private SchedulerSurroundings surroundings(Configuration inForce) {
+        return new SchedulerSurroundings(
+                Set.copyOf(inForce.withdrawnZones()),
+                leavingAddresses,
+                instances,
+                members.self().name(),
+                members.self().zone());
+    }
+
+    /**
+     * Takes over what is known of instances that come and go.
+     *
+     * @param leaving endpoints that the platform is about to take away
+     */
+    public synchronized void setLeaving(Set<String> leaving) {
+        int live = members.live().size();
+        if (leaving.equals(leavingAddresses) && live == instances) {
+            return;
+        }
+        leavingAddresses = Set.copyOf(leaving);
+        instances = live;
+        configuration.inForce().ifPresent(this::apply);
+    }
+
+    /**
+     * Records an endpoint's report in all tables.
+     *
+     * @param address the endpoint
+     * @param report what it reported
+     * @param requestedMs when the report was asked for
+     */
+    public void observe(String address, LoadReport report, long requestedMs) {
+        boolean restarted = warmth.incarnation(address)
+                .filter(incarnation -> !incarnation.equals(report.incarnation()))
+                .isPresent();
+        int own = 0;
+        for (PoolScheduler scheduler : schedulers.values()) {
+            own += scheduler.inFlight(address);
+            if (restarted) {
+                scheduler.forgetPrefixes(address);
+            }
+        }
+        warmth.observe(address, report, requestedMs, own, clock.nowMs());
+        for (PoolScheduler scheduler : schedulers.values()) {
+            scheduler.report(address, report.inFlight());
+        }
+    }
+
+    /**
+     * Returns the expected duration of the stages of a route after a given one.
+     *
+     * @param route the route
+     * @param position the stage's place, from zero
+     * @return milliseconds
+     */
+    public long laterStagesMs(Route route, int position) {
+        double sum = 0;
+        for (Stage stage : route.stages().subList(position + 1, route.stages().size())) {
+            sum += scheduler(stage.pool()).map(PoolScheduler::meanMs).orElse(0.0);
+        }
+        return (long) sum;
+    }
+
+    /**
+     * Finds a pool's scheduler.
+     *
+     * @param pool the pool's name
+     * @return the scheduler, or empty
+     */
+    public Optional<PoolScheduler> scheduler(String pool) {
+        return Optional.ofNullable(schedulers.get(pool));
+    }
+
+    /**
+     * Returns all schedulers.
+     *
+     * @return the schedulers of the configuration in force
+     */
+    public Collection<PoolScheduler> schedulers() {
+        return List.copyOf(schedulers.values());
+    }
+
+    /**
+     * Returns the retry budget of a pool.
+     *
+     * @param pool the pool's name
+     * @return the budget
+     */
+    public RetryBudget budget(String pool) {
+        return budgets.computeIfAbsent(pool, unused -> new RetryBudget(RETRY_SHARE, RETRY_BURST));
+    }
+
+    /**
+     * Returns the configuration table.
+     *
+     * @return the table
+     */
+    public ConfigurationTable configuration() {
+        return configuration;
+    }
+
+    /**
+     * Returns what is known of the endpoints' warmth.
+     *
+     * @return the table
+     */
+    public WarmthTable warmth() {
+        return warmth;
+    }
+
+    /**
+     * Returns the suspected requests.
+     *
+     * @return the table
+     */
+    public SuspectTable suspects() {
+        return suspects;
+    }
+
+    /**
+     * Returns the entry instances.
+     *
+     * @return the table
+     */
+    public MemberTable members() {
+        return members;
+    }
+
+    /**
+     * Returns the time.
+     *
+     * @return the clock
+     */
+    public MonotonicClock clock() {
+        return clock;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/pimentovale/kernel/membership/MemberTable.java
@@ -0,0 +1,150 @@
+package org.pimentovale.kernel.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The entry instances that this one knows of, and when it last heard from each.
+ *
+ * <p>Invariant: this instance is always a live member. Thread safe; its lock is a leaf.
+ */
+public final class MemberTable {
+    private final Member self;
+    private final Map<String, Member> members = new HashMap<>();
+    private final Map<String, Long> heardMs = new HashMap<>();
+    private final Set<String> dead = new HashSet<>();
+
+    /**
+     * Creates a table that holds only this instance.
+     *
+     * @param self this instance
+     */
+    public MemberTable(Member self) {
+        this.self = self;
+    }
+
+    /**
+     * Returns this instance.
+     *
+     * @return the member
+     */
+    public Member self() {
+        return self;
+    }
+
+    /**
+     * Takes over the registered members; those that are gone are forgotten.
+     *
+     * @param registered all registered members
+     * @param nowMs the time
+     */
+    public synchronized void setRegistered(Collection<Member> registered, long nowMs) {
+        Map<String, Member> next = new HashMap<>();
+        for (Member member : registered) {
+            if (!member.name().equals(self.name())) {
+                next.put(member.name(), member);
+                heardMs.putIfAbsent(member.name(), nowMs);
+            }
+        }
+        members.clear();
+        members.putAll(next);
+        heardMs.keySet().retainAll(next.keySet());
+        dead.retainAll(next.keySet());
+    }
+
+    /**
+     * Records that a member was heard from.
+     *
+     * @param member the member
+     * @param nowMs the time
+     */
+    public synchronized void heard(Member member, long nowMs) {
+        if (!member.name().equals(self.name())) {
+            members.put(member.name(), member);
+            heardMs.put(member.name(), nowMs);
+            dead.remove(member.name());
+        }
+    }
+
+    /**
+     * Records that a member left or stopped answering; it counts as live again once it is heard from.
+     *
+     * @param name its name
+     * @param nowMs the time
+     */
+    public synchronized void declareDead(String name, long nowMs) {
+        if (members.containsKey(name)) {
+            dead.add(name);
+        }
+    }
+
+    /**
+     * Returns the members that left or stopped answering.
+     *
+     * @return their names
+     */
+    public synchronized Set<String> dead() {
+        return Set.copyOf(dead);
+    }
+
+    /**
+     * Returns the other members.
+     *
+     * @return all that are registered, live or not, by name
+     */
+    public synchronized List<Member> others() {
+        List<Member> others = new ArrayList<>(members.values());
+        others.sort(Comparator.comparing(Member::name));
+        return others;
+    }
+
+    /**
+     * Returns the live members, with this instance.
+     *
+     * @return the members that nobody reported as gone
+     */
+    public synchronized List<Member> live() {
+        List<Member> live = new ArrayList<>();
+        live.add(self);
+        for (Member member : members.values()) {
+            if (!dead.contains(member.name())) {
+                live.add(member);
+            }
+        }
+        return live;
+    }
+
+    /**
+     * Returns how long ago any other member was heard from.
+     *
+     * @param nowMs the time
+     * @return milliseconds, or empty where no other member is known
+     */
+    public synchronized Optional<Long> silenceOfAll(long nowMs) {
+        return heardMs.values().stream().max(Comparator.naturalOrder()).map(latest -> nowMs - latest);
+    }
+
+    /**
+     * Returns this instance's place in the order of preference for a duty, by rendezvous hashing.
+     *
+     * @param duty the duty's name
+     * @return zero for the most preferred live member
+     */
+    public int rank(String duty) {
+        long own = RendezvousHash.weight(duty, self.name());
+        int rank = 0;
+        for (Member member : live()) {
+            if (RendezvousHash.weight(duty, member.name()) > own) {
+                rank++;
+            }
+        }
+        return rank;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/pimentovale/kernel/schedule/EndpointState.java
@@ -0,0 +1,124 @@
+package org.pimentovale.kernel.schedule;
+
+import org.pimentovale.kernel.retry.RetryReason;
+import org.pimentovale.table.Endpoint;
+
+/**
+ * What the scheduler of a pool knows of one endpoint.
+ *
+ * <p>Invariant: {@code inFlight} counts the grants that were not released. Not thread safe; guarded by the scheduler's
+ * lock.
+ */
+final class EndpointState {
+    private static final double SERVICE_TIME_WEIGHT = 0.15;
+    private static final double REFUSAL_FACTOR = 0.7;
+    private static final double RECOVERY_STEP = 0.02;
+    private static final double LOWEST_FACTOR = 0.1;
+    private static final int SILENCES_BEFORE_BLAME = 3;
+    private static final long FIRST_SUSPENSION_MS = 200;
+    private static final long LONGEST_SUSPENSION_MS = 5_000;
+    private static final int LARGEST_SHIFT = 5;
+    private static final long REPORT_LIFETIME_MS = 3_000;
+
+    private final Endpoint endpoint;
+    private double baseMs;
+    private double limitFactor = 1;
+    private int inFlight;
+    private int suspects;
+    private int consecutiveFailures;
+    private int consecutiveSilences;
+    private long suspendedUntilMs = Long.MIN_VALUE;
+    private boolean reported;
+    private int reportedInFlight;
+    private int ownAtReport;
+    private long reportedAtMs;
+
+    EndpointState(Endpoint endpoint, int expectedMs) {
+        this.endpoint = endpoint;
+        this.baseMs = expectedMs;
+    }
+
+    Endpoint endpoint() {
+        return endpoint;
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
+    double baseMs() {
+        return baseMs;
+    }
+
+    boolean suspended(long nowMs) {
+        return nowMs < suspendedUntilMs;
+    }
+
+    long suspendedUntilMs() {
+        return suspendedUntilMs;
+    }
+
+    boolean runsSuspect() {
+        return suspects > 0;
+    }
+
+    /** Returns the believed number of requests over all instances. */
+    int totalInFlight(long nowMs) {
+        if (!reported || nowMs - reportedAtMs > REPORT_LIFETIME_MS) {
+            return inFlight;
+        }
+        return Math.max(inFlight, reportedInFlight + inFlight - ownAtReport);
+    }
+
+    /** Tells whether a warm endpoint may take one more request of this instance. */
+    boolean hasRoom(int limit, int instances, long nowMs) {
+        int share = (int) Math.max(1, Math.ceil(limit * limitFactor / instances));
+        if (inFlight < share) {
+            return true;
+        }
+        boolean fresh = reported && nowMs - reportedAtMs <= REPORT_LIFETIME_MS;
+        // Every other instance may use the same lagging report to take one more at the same time.
+        return fresh && totalInFlight(nowMs) + (instances - 1) / 2.0 < limit * limitFactor;
+    }
+
+    void report(int totalInFlight, long nowMs) {
+        reported = true;
+        reportedInFlight = totalInFlight;
+        ownAtReport = inFlight;
+        reportedAtMs = nowMs;
+    }
+
+    void granted(boolean suspect) {
+        inFlight++;
+        suspects += suspect ? 1 : 0;
+    }
+
+    void released(Grant grant, CallResult result, long nowMs) {
+        inFlight--;
+        suspects -= grant.work().suspect() ? 1 : 0;
+        if (result.answered()) {
+            consecutiveFailures = 0;
+            consecutiveSilences = 0;
+            limitFactor = Math.min(1, limitFactor + RECOVERY_STEP);
+            double sample = result.serviceMs() / (1 + grant.load() * grant.load());
+            if (!grant.cold()) {
+                baseMs += SERVICE_TIME_WEIGHT * (sample - baseMs);
+            }
+        }
+        result.failure().ifPresent(reason -> recordFailure(reason, nowMs));
+    }
+
+    private void recordFailure(RetryReason reason, long nowMs) {
+        if (reason == RetryReason.REFUSED) {
+            limitFactor = Math.max(LOWEST_FACTOR, limitFactor * REFUSAL_FACTOR);
+        }
+        if (reason == RetryReason.SILENCE) {
+            consecutiveSilences++;
+        }
+        if (reason.blamesEndpoint() || consecutiveSilences >= SILENCES_BEFORE_BLAME) {
+            consecutiveFailures++;
+            int shift = Math.min(LARGEST_SHIFT, consecutiveFailures - 1);
+            suspendedUntilMs = nowMs + Math.min(LONGEST_SUSPENSION_MS, FIRST_SUSPENSION_MS << shift);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/pimentovale/kernel/schedule/PoolScheduler.java
@@ -0,0 +1,409 @@
+package org.pimentovale.kernel.schedule;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.kernel.endpoint.Warmth;
+import org.pimentovale.kernel.endpoint.WarmthTable;
+import org.pimentovale.kernel.membership.RendezvousHash;
+import org.pimentovale.kernel.routing.Candidate;
+import org.pimentovale.kernel.routing.PrefixTable;
+import org.pimentovale.kernel.routing.RoutingPolicy;
+import org.pimentovale.kernel.time.MonotonicClock;
+import org.pimentovale.table.Endpoint;
+import org.pimentovale.table.Pool;
+
+/**
+ * Decides which work goes to which endpoint of one pool, what waits, and what is refused early.
+ *
+ * <p>Invariants: an endpoint never runs more requests of this instance than its permits; no grant names an endpoint that
+ * was withdrawn, leaving or unverified when it was given; each submitted work is granted, refused or cancelled exactly
+ * once. Thread safe; its lock comes before the lock of the warmth table, and listeners are called outside it.
+ */
+public final class PoolScheduler {
+    private static final int PREFIX_CAPACITY = 10_000;
+    private static final int SMALLEST_SUBSET = 8;
+    private static final double MEAN_WEIGHT = 0.1;
+    private static final double HOPELESS_SHARE = 0.6;
+
+    private final RoutingPolicy policy;
+    private final MonotonicClock clock;
+    private final RandomGenerator random;
+    private final WarmthTable warmth;
+    private final int queueLimit;
+    private final WaitQueue queue = new WaitQueue();
+    private final PrefixTable prefixes = new PrefixTable(PREFIX_CAPACITY);
+    private final Map<String, EndpointState> endpoints = new LinkedHashMap<>();
+    private Pool pool;
+    private SchedulerSurroundings surroundings;
+    private Set<String> subset = Set.of();
+    private double meanMs;
+    private int inFlight;
+    private long turn;
+    private long lastSubmittedMs = Long.MIN_VALUE / 2;
+
+    /**
+     * Creates the scheduler of a pool.
+     *
+     * @param pool the pool
+     * @param surroundings what lies beyond the pool
+     * @param policy chooses among the free endpoints
+     * @param clock the time
+     * @param random the source of randomness, used by this scheduler alone
+     * @param warmth what is known of the endpoints' warmth
+     * @param queueLimit the largest number of waiting requests
+     */
+    public PoolScheduler(
+            Pool pool,
+            SchedulerSurroundings surroundings,
+            RoutingPolicy policy,
+            MonotonicClock clock,
+            RandomGenerator random,
+            WarmthTable warmth,
+            int queueLimit) {
+        this.policy = policy;
+        this.clock = clock;
+        this.random = random;
+        this.warmth = warmth;
+        this.queueLimit = queueLimit;
+        this.meanMs = pool.expectedMs();
+        apply(pool, surroundings);
+    }
+
+    /**
+     * Takes over another version of the pool or of its surroundings, and grants what may be granted then.
+     *
+     * @param newPool the pool
+     * @param newSurroundings what lies beyond it
+     */
+    public void apply(Pool newPool, SchedulerSurroundings newSurroundings) {
+        synchronized (this) {
+            pool = newPool;
+            surroundings = newSurroundings;
+            Map<String, Endpoint> current = new LinkedHashMap<>();
+            newPool.endpoints().forEach(endpoint -> current.put(endpoint.address(), endpoint));
+            // States with running work are kept, so that their releases find them.
+            endpoints
+                    .values()
+                    .removeIf(state -> !state.endpoint()
+                                    .equals(current.get(state.endpoint().address()))
+                            && state.inFlight() == 0);
+            current.forEach((address, endpoint) ->
+                    endpoints.computeIfAbsent(address, unused -> new EndpointState(endpoint, pool.expectedMs())));
+            subset = chooseSubset();
+        }
+        tick();
+    }
+
+    /** Each instance uses a part of a large pool only, so that few instances share an endpoint's limit. */
+    private Set<String> chooseSubset() {
+        List<Endpoint> serving = pool.endpoints().stream()
+                .filter(endpoint -> !surroundings.withdrawnZones().contains(endpoint.zone()))
+                .filter(endpoint -> !surroundings.leavingAddresses().contains(endpoint.address()))
+                .sorted(Comparator.comparingLong((Endpoint endpoint) ->
+                                RendezvousHash.weight(endpoint.address(), surroundings.instanceName()))
+                        .reversed())
+                .toList();
+        int wanted = Math.max(SMALLEST_SUBSET, pool.limit() * serving.size() / (2 * surroundings.instances()));
+        return Set.copyOf(serving.stream()
+                .limit(Math.min(wanted, serving.size()))
+                .map(Endpoint::address)
+                .toList());
+    }
+
+    /**
+     * Submits work. The listener is told at once or later, exactly once unless the ticket is cancelled.
+     *
+     * @param work the work
+     * @param listener is told what becomes of it
+     * @return the ticket by which waiting work can be cancelled
+     */
+    public Ticket submit(StageWork work, GrantListener listener) {
+        Ticket ticket = new Ticket(work, listener);
+        List<Runnable> actions = new ArrayList<>();
+        synchronized (this) {
+            long nowMs = clock.nowMs();
+            lastSubmittedMs = nowMs;
+            if (subset.isEmpty()) {
+                refuse(ticket, ErrorCode.NO_ENDPOINT, actions);
+            } else if (hopeless(work, nowMs, 0)) {
+                refuse(ticket, ErrorCode.DEADLINE_UNREACHABLE, actions);
+            } else if (queue.size() > 0 || !tryGrant(ticket, nowMs, actions)) {
+                enqueue(ticket, nowMs, actions);
+                drain(nowMs, actions);
+            }
+        }
+        actions.forEach(Runnable::run);
+        return ticket;
+    }
+
+    private boolean hopeless(StageWork work, long nowMs, long waitMs) {
+        return nowMs + waitMs + HOPELESS_SHARE * (meanMs + work.laterStagesMs()) > work.deadlineAtMs();
+    }
+
+    private void enqueue(Ticket ticket, long nowMs, List<Runnable> actions) {
+        long waitMs = waitMs(queue.ahead(ticket.work()));
+        if (hopeless(ticket.work(), nowMs, waitMs)) {
+            refuse(ticket, ErrorCode.DEADLINE_UNREACHABLE, actions);
+            return;
+        }
+        queue.add(ticket);
+        if (queue.size() > queueLimit) {
+            queue.mostCrowding().ifPresent(crowding -> {
+                queue.remove(crowding);
+                refuse(crowding, ErrorCode.OVERLOADED, actions);
+            });
+        }
+    }
+
+    private long waitMs(int ahead) {
+        return (long) (ahead * meanMs / Math.max(1, inFlight));
+    }
+
+    private void refuse(Ticket ticket, ErrorCode code, List<Runnable> actions) {
+        long retryAfterMs = Math.max(100, waitMs(queue.size()));
+        actions.add(() -> ticket.listener().refused(code, retryAfterMs));
+    }
+
+    private boolean tryGrant(Ticket ticket, long nowMs, List<Runnable> actions) {
+        StageWork work = ticket.work();
+        List<Candidate> candidates = candidates(work, nowMs, true);
+        if (candidates.isEmpty()) {
+            candidates = candidates(work, nowMs, false);
+        }
+        if (candidates.isEmpty()) {
+            return false;
+        }
+        long slackMs = (long) (work.deadlineAtMs() - nowMs - meanMs - work.laterStagesMs());
+        Candidate chosen = policy.choose(candidates, turn++, slackMs, random);
+        EndpointState state = endpoints.get(chosen.address());
+        state.granted(work.suspect());
+        inFlight++;
+        prefixes.add(work.prefix(), chosen.address());
+        double load = (double) chosen.totalInFlight() / chosen.limit();
+        Grant grant = new Grant(work, state.endpoint(), chosen.cold(), load, nowMs);
+        actions.add(() -> ticket.listener().granted(grant));
+        return true;
+    }
+
+    private List<Candidate> candidates(StageWork work, long nowMs, boolean withoutExcluded) {
+        List<Candidate> candidates = new ArrayList<>();
+        for (EndpointState state : endpoints.values()) {
+            String address = state.endpoint().address();
+            if (!subset.contains(address)
+                    || state.suspended(nowMs)
+                    || (withoutExcluded && work.excluded().contains(address))
+                    || (work.suspect() && state.runsSuspect())) {
+                continue;
+            }
+            Warmth known = effectiveWarmth(address);
+            boolean room = known == Warmth.COLD
+                    ? state.inFlight() < warmth.coldPermits(address, nowMs)
+                    : state.hasRoom(pool.limit(), surroundings.instances(), nowMs);
+            if (known != Warmth.UNVERIFIED && room) {
+                candidates.add(candidate(state, work, known, nowMs));
+            }
+        }
+        return candidates;
+    }
+
+    /** An endpoint that bears its full limit while cold needs no warm-up. */
+    private Warmth effectiveWarmth(String address) {
+        Warmth known = warmth.warmth(address);
+        return known == Warmth.COLD && pool.coldLimit() >= pool.limit() ? Warmth.WARM : known;
+    }
+
+    private Candidate candidate(EndpointState state, StageWork work, Warmth known, long nowMs) {
+        String address = state.endpoint().address();
+        return new Candidate(
+                address,
+                state.endpoint().zone().equals(surroundings.instanceZone()),
+                state.inFlight(),
+                state.totalInFlight(nowMs),
+                pool.limit(),
+                state.baseMs(),
+                prefixes.holds(work.prefix(), address),
+                known == Warmth.COLD);
+    }
+
+    private void drain(long nowMs, List<Runnable> actions) {
+        for (Ticket late : queue.removeAll(ticket -> hopeless(ticket.work(), nowMs, 0))) {
+            refuse(late, ErrorCode.DEADLINE_UNREACHABLE, actions);
+        }
+        if (subset.isEmpty()) {
+            queue.removeAll(ticket -> true).forEach(ticket -> refuse(ticket, ErrorCode.NO_ENDPOINT, actions));
+        }
+        boolean granted = true;
+        while (granted) {
+            granted = queue.poll(ticket -> tryGrant(ticket, nowMs, actions)).isPresent();
+        }
+    }
+
+    /**
+     * Tells whether a grant may still be used. To be asked immediately before the dispatch, since zones, endpoints,
+     * leases and deadlines may have changed since the grant.
+     *
+     * @param grant the grant
+     * @return empty where it may be used, the reason otherwise
+     */
+    public synchronized Optional<ErrorCode> objection(Grant grant) {
+        long nowMs = clock.nowMs();
+        String address = grant.endpoint().address();
+        if (nowMs >= grant.work().deadlineAtMs()) {
+            return Optional.of(ErrorCode.DEADLINE_EXCEEDED);
+        }
+        Warmth known = effectiveWarmth(address);
+        EndpointState state = endpoints.get(address);
+        boolean permitted = subset.contains(address)
+                && known != Warmth.UNVERIFIED
+                && (known == Warmth.WARM || (grant.cold() && state.inFlight() <= warmth.coldPermits(address, nowMs)));
+        return permitted ? Optional.empty() : Optional.of(ErrorCode.NO_ENDPOINT);
+    }
+
+    /**
+     * Gives a grant back and grants waiting work.
+     *
+     * @param grant the grant
+     * @param result how the attempt ended
+     */
+    public void release(Grant grant, CallResult result) {
+        List<Runnable> actions = new ArrayList<>();
+        synchronized (this) {
+            long nowMs = clock.nowMs();
+            inFlight--;
+            EndpointState state = endpoints.get(grant.endpoint().address());
+            if (state != null) {
+                state.released(grant, result, nowMs);
+            }
+            if (result.answered()) {
+                meanMs += MEAN_WEIGHT * (result.serviceMs() - meanMs);
+            }
+            drain(nowMs, actions);
+        }
+        actions.forEach(Runnable::run);
+    }
+
+    /** Refuses waiting work that has become hopeless, and grants what may be granted now. */
+    public void tick() {
+        List<Runnable> actions = new ArrayList<>();
+        synchronized (this) {
+            drain(clock.nowMs(), actions);
+        }
+        actions.forEach(Runnable::run);
+    }
+
+    /**
+     * Takes waiting work back, where its caller has left.
+     *
+     * @param ticket the ticket
+     * @return whether it was still waiting
+     */
+    public synchronized boolean cancel(Ticket ticket) {
+        return queue.remove(ticket);
+    }
+
+    /**
+     * Records an endpoint's load report.
+     *
+     * @param address the endpoint
+     * @param totalInFlight requests that it runs, over all instances
+     */
+    public synchronized void report(String address, int totalInFlight) {
+        EndpointState state = endpoints.get(address);
+        if (state != null) {
+            state.report(totalInFlight, clock.nowMs());
+        }
+    }
+
+    /**
+     * Records that an endpoint's memory is gone, since another incarnation answers.
+     *
+     * @param address the endpoint
+     */
+    public synchronized void forgetPrefixes(String address) {
+        prefixes.forget(address);
+    }
+
+    /**
+     * Returns the requests of this instance that an endpoint runs.
+     *
+     * @param address the endpoint
+     * @return the number
+     */
+    public synchronized int inFlight(String address) {
+        EndpointState state = endpoints.get(address);
+        return state == null ? 0 : state.inFlight();
+    }
+
+    /**
+     * Tells whether requests of this instance need the pool.
+     *
+     * @param periodMs how far back a request counts, in milliseconds
+     * @return whether work waits or was submitted within the period
+     */
+    public synchronized boolean demanded(long periodMs) {
+        return queue.size() > 0 || inFlight > 0 || clock.nowMs() - lastSubmittedMs <= periodMs;
+    }
+
+    /**
+     * Returns the expected duration of a call.
+     *
+     * @return milliseconds
+     */
+    public synchronized double meanMs() {
+        return meanMs;
+    }
+
+    /**
+     * Returns the pool as it is in force.
+     *
+     * @return the pool
+     */
+    public synchronized Pool pool() {
+        return pool;
+    }
+
+    /**
+     * Returns the endpoints that this instance uses.
+     *
+     * @return their addresses
+     */
+    public synchronized Set<String> subset() {
+        return subset;
+    }
+
+    /**
+     * Returns the number of waiting requests.
+     *
+     * @return the number
+     */
+    public synchronized int queueLength() {
+        return queue.size();
+    }
+
+    /**
+     * Describes the endpoints for operators.
+     *
+     * @return a view of each endpoint
+     */
+    public synchronized List<EndpointView> views() {
+        long nowMs = clock.nowMs();
+        return endpoints.values().stream()
+                .map(state -> new EndpointView(
+                        pool.name(),
+                        state.endpoint().address(),
+                        state.endpoint().zone(),
+                        EndpointView.reason(
+                                state, effectiveWarmth(state.endpoint().address()), surroundings, nowMs),
+                        state.inFlight(),
+                        state.totalInFlight(nowMs),
+                        Math.round(state.baseMs())))
+                .toList();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/pimentovale/kernel/suspect/SuspectTable.java
@@ -0,0 +1,70 @@
+package org.pimentovale.kernel.suspect;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Set;
+
+/**
+ * Fingerprints of requests that were running on endpoints when these were lost.
+ *
+ * <p>Invariant: a fingerprint with as many lost endpoints as {@link #QUARANTINE_LOSSES} never leaves quarantine before
+ * it is forgotten by capacity. Thread safe; its lock is a leaf.
+ */
+public final class SuspectTable {
+    /** Lost endpoints after which a request is not run again. */
+    public static final int QUARANTINE_LOSSES = 2;
+
+    private final LinkedHashMap<String, Set<String>> losses = new LinkedHashMap<>();
+    private final int capacity;
+
+    /**
+     * Creates an empty table.
+     *
+     * @param capacity the largest number of fingerprints
+     */
+    public SuspectTable(int capacity) {
+        this.capacity = capacity;
+    }
+
+    /**
+     * Records that an endpoint was lost while a request ran on it.
+     *
+     * @param fingerprint the request's fingerprint
+     * @param endpoint address and incarnation of the endpoint
+     * @return whether this loss was unknown
+     */
+    public synchronized boolean recordLoss(String fingerprint, String endpoint) {
+        boolean added =
+                losses.computeIfAbsent(fingerprint, unused -> new HashSet<>()).add(endpoint);
+        while (losses.size() > capacity) {
+            losses.remove(losses.keySet().iterator().next());
+        }
+        return added;
+    }
+
+    /**
+     * Clears a request that has been answered in full.
+     *
+     * @param fingerprint the request's fingerprint
+     */
+    public synchronized void clear(String fingerprint) {
+        Set<String> endpoints = losses.get(fingerprint);
+        if (endpoints != null && endpoints.size() < QUARANTINE_LOSSES) {
+            losses.remove(fingerprint);
+        }
+    }
+
+    /**
+     * Returns how far a request is suspected.
+     *
+     * @param fingerprint the request's fingerprint
+     * @return the verdict
+     */
+    public synchronized SuspectVerdict verdict(String fingerprint) {
+        int lost = losses.getOrDefault(fingerprint, Set.of()).size();
+        if (lost == 0) {
+            return SuspectVerdict.CLEAR;
+        }
+        return lost < QUARANTINE_LOSSES ? SuspectVerdict.RUN_ALONE : SuspectVerdict.QUARANTINED;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/pimentovale/error/ErrorCode.java
@@ -0,0 +1,97 @@
+package org.pimentovale.error;
+
+import java.util.Locale;
+
+/**
+ * The codes of all failures, each with its HTTP status and an advice for whoever meets it.
+ *
+ * <p>Invariant: a code that is not {@link #mayReachEndpoint()} is only raised before any dispatch. Immutable and thread
+ * safe.
+ */
+public enum ErrorCode {
+    MALFORMED_BODY(400, false, "Send one JSON object as the body."),
+    MALFORMED_HEADER(400, false, "Correct the named header."),
+    BODY_TOO_LARGE(413, false, "Send a smaller body."),
+    BODY_TIMEOUT(408, false, "Send the whole body without long pauses."),
+    KIND_UNKNOWN(404, false, "Use a kind that the routes table names."),
+    KEY_MISSING(400, false, "Send an Idempotency-Key header; this kind of request runs at most once."),
+    KEY_EXPIRED(409, true, "The key is older than the retention period; look up the first run, then use a new key."),
+    KEY_REUSED(422, false, "The key was used with another body; use a new key for a new request."),
+    RUN_IN_PROGRESS(409, true, "The first request with this key has not finished; send it again later."),
+    RUN_OUTCOME_UNKNOWN(409, true, "Nobody knows whether the first run finished; check with the service."),
+    ANSWER_NOT_KEPT(409, true, "The first run finished, but its answer was too large to be kept."),
+    NOT_CONFIGURED(503, false, "No configuration is in force here yet; try again."),
+    INSTANCE_ISOLATED(503, false, "This instance is cut off from the platform and its peers; try again."),
+    INSTANCE_DRAINING(503, false, "This instance is shutting down; try again."),
+    OVERLOADED(503, false, "The queue is full; try again after the given time."),
+    DEADLINE_UNREACHABLE(503, false, "The request cannot finish in time now; try again after the given time."),
+    DEADLINE_EXCEEDED(504, true, "The deadline passed; try again with a longer one."),
+    NO_ENDPOINT(503, false, "No endpoint of the pool can take work now; try again after the given time."),
+    STORE_UNAVAILABLE(503, false, "The platform's store is unavailable, nothing was run; try again."),
+    CONNECT_FAILED(502, false, "The endpoint accepted no connection; try again."),
+    CONNECTION_LOST(502, true, "The endpoint's connection was lost while the request ran."),
+    PROGRESS_TIMEOUT(504, true, "The endpoint made no progress within the time-out."),
+    STREAM_TRUNCATED(502, true, "The endpoint's stream ended before its last event."),
+    ANSWER_MISMATCHED(502, true, "The endpoint answered another request."),
+    ENDPOINT_REFUSED(503, true, "The endpoint refused the work."),
+    ENDPOINT_FAILED(502, true, "The endpoint reported a failure."),
+    RETRY_BUDGET_EXHAUSTED(503, true, "Too many requests are being retried; try again later."),
+    REQUEST_QUARANTINED(422, true, "Endpoints were lost while this request ran; it is not run again."),
+    CALLER_LEFT(499, true, "The caller closed its connection."),
+    UNAUTHORISED(401, false, "Send the key of this listener."),
+    CONFIGURATION_INVALID(422, false, "Correct the named entries."),
+    CONFIGURATION_CONFLICT(409, false, "Another operator changed the same entries; look at the difference."),
+    CONFIGURATION_NOT_CONFIRMED(504, true, "The store did not answer; ask again with the change identifier."),
+    OBJECT_DAMAGED(500, false, "The stored object cannot be read; the last good one stays in force."),
+    OBJECT_TOO_LARGE(413, false, "A stored value holds at most one megabyte."),
+    SETTINGS_INVALID(400, false, "Correct the settings file."),
+    PLUGIN_UNKNOWN(400, false, "Use the name of a registered plug-in."),
+    PEER_MESSAGE_INVALID(400, false, "The message between instances is malformed."),
+    INTERNAL(500, true, "Report this failure with the request identifier.");
+
+    private final int status;
+    private final boolean mayReachEndpoint;
+    private final String advice;
+
+    ErrorCode(int status, boolean mayReachEndpoint, String advice) {
+        this.status = status;
+        this.mayReachEndpoint = mayReachEndpoint;
+        this.advice = advice;
+    }
+
+    /**
+     * Returns the code as callers see it.
+     *
+     * @return lower case with hyphens, such as {@code deadline-exceeded}
+     */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /**
+     * Returns the HTTP status of an answer with this code.
+     *
+     * @return a status between 400 and 599
+     */
+    public int status() {
+        return status;
+    }
+
+    /**
+     * Tells whether the failure can occur after a byte has reached an endpoint.
+     *
+     * @return false where the code alone implies that nothing was dispatched by the failing step
+     */
+    public boolean mayReachEndpoint() {
+        return mayReachEndpoint;
+    }
+
+    /**
+     * Returns what the reader of the failure can do.
+     *
+     * @return one sentence
+     */
+    public String advice() {
+        return advice;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/pimentovale/error/ServingException.java
@@ -0,0 +1,78 @@
+package org.pimentovale.error;
+
+import java.util.Objects;
+
+/** A failure with a code and an outcome. Immutable and thread safe. */
+public final class ServingException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final ErrorCode code;
+    private final Outcome outcome;
+
+    /**
+     * Creates a failure.
+     *
+     * @param code what failed
+     * @param outcome whether the request's work ran
+     * @param detail what exactly was met, for the reader of a log
+     */
+    public ServingException(ErrorCode code, Outcome outcome, String detail) {
+        super(code.label() + ": " + detail, null, false, false);
+        this.code = Objects.requireNonNull(code);
+        this.outcome = Objects.requireNonNull(outcome);
+    }
+
+    /**
+     * Creates a failure that happened before anything was dispatched.
+     *
+     * @param code what failed
+     * @param detail what exactly was met
+     * @return the failure, with outcome {@link Outcome#NOT_RUN}
+     */
+    public static ServingException notRun(ErrorCode code, String detail) {
+        return new ServingException(code, Outcome.NOT_RUN, detail);
+    }
+
+    /**
+     * Creates a failure after which nobody knows whether the work ran.
+     *
+     * @param code what failed
+     * @param detail what exactly was met
+     * @return the failure, with outcome {@link Outcome#UNKNOWN}
+     */
+    public static ServingException unknown(ErrorCode code, String detail) {
+        return new ServingException(code, Outcome.UNKNOWN, detail);
+    }
+
+    /**
+     * Returns this failure with another outcome.
+     *
+     * @param other the outcome
+     * @return this failure where nothing changes, a copy otherwise
+     */
+    public ServingException withOutcome(Outcome other) {
+        if (other == outcome) {
+            return this;
+        }
+        String message = getMessage();
+        return new ServingException(code, other, message.substring(message.indexOf(": ") + 2));
+    }
+
+    /**
+     * Returns what failed.
+     *
+     * @return the code
+     */
+    public ErrorCode code() {
+        return code;
+    }
+
+    /**
+     * Returns whether the work ran.
+     *
+     * @return the outcome
+     */
+    public Outcome outcome() {
+        return outcome;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/pimentovale/json/Json.java
@@ -0,0 +1,93 @@
+package org.pimentovale.json;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+
+/** Reads and writes records as JSON with members in snake case. Thread safe. */
+public final class Json {
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .addModule(new Jdk8Module())
+            .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+            .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false)
+            .configure(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES, true)
+            .configure(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES, true)
+            .build();
+
+    private Json() {}
+
+    /**
+     * Writes a record.
+     *
+     * @param value the record
+     * @return its JSON text in UTF-8
+     */
+    public static byte[] write(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException failure) {
+            throw ServingException.notRun(ErrorCode.INTERNAL, failure.getOriginalMessage());
+        }
+    }
+
+    /**
+     * Writes a record over several lines, for people.
+     *
+     * @param value the record
+     * @return indented JSON text
+     */
+    public static String writeIndented(Object value) {
+        try {
+            return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(value);
+        } catch (JsonProcessingException failure) {
+            throw ServingException.notRun(ErrorCode.INTERNAL, failure.getOriginalMessage());
+        }
+    }
+
+    /**
+     * Reads a record.
+     *
+     * @param bytes JSON text in UTF-8
+     * @param type the record's class
+     * @return the record
+     * @throws ServingException with {@link ErrorCode#OBJECT_DAMAGED} where the text does not describe such a record
+     */
+    public static <T> T read(byte[] bytes, Class<T> type) {
+        try {
+            T value = MAPPER.readValue(bytes, type);
+            if (value == null) {
+                throw ServingException.notRun(ErrorCode.OBJECT_DAMAGED, "empty value for " + type.getSimpleName());
+            }
+            return value;
+        } catch (IOException failure) {
+            throw ServingException.notRun(
+                    ErrorCode.OBJECT_DAMAGED, type.getSimpleName() + " not readable: " + firstLine(failure));
+        }
+    }
+
+    /**
+     * Reads JSON text of any shape.
+     *
+     * @param bytes JSON text in UTF-8
+     * @return the tree
+     * @throws ServingException with {@link ErrorCode#MALFORMED_BODY} where the text is no JSON
+     */
+    public static JsonNode readTree(byte[] bytes) {
+        try {
+            return MAPPER.readTree(bytes);
+        } catch (IOException failure) {
+            throw ServingException.notRun(ErrorCode.MALFORMED_BODY, firstLine(failure));
+        }
+    }
+
+    private static String firstLine(IOException failure) {
+        return String.valueOf(failure.getMessage()).lines().findFirst().orElse("");
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/pimentovale/table/TablesMerge.java
@@ -0,0 +1,114 @@
+package org.pimentovale.table;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Function;
+
+/** Merges two changes of the same tables where they touch different entries. Stateless and thread safe. */
+public final class TablesMerge {
+    private TablesMerge() {}
+
+    /**
+     * The result of a merge. Immutable and thread safe.
+     *
+     * @param tables the merged tables, of use only without conflicts
+     * @param conflicts the entries that both sides changed, as {@code pool NAME} or {@code route KIND}
+     */
+    public record Result(Tables tables, List<String> conflicts) {}
+
+    /**
+     * Merges.
+     *
+     * @param base the tables from which both sides started
+     * @param mine the tables of one side
+     * @param theirs the tables of the other side
+     * @return the merged tables and the conflicts
+     */
+    public static Result merge(Tables base, Tables mine, Tables theirs) {
+        List<String> conflicts = new ArrayList<>();
+        List<Pool> pools = mergeEntries("pool ", base.pools(), mine.pools(), theirs.pools(), Pool::name, conflicts);
+        List<Route> routes =
+                mergeEntries("route ", base.routes(), mine.routes(), theirs.routes(), Route::kind, conflicts);
+        Tables merged = new Tables(routes, pools);
+        for (Route route : routes) {
+            for (Stage stage : route.stages()) {
+                if (merged.pool(stage.pool()).isEmpty()) {
+                    conflicts.add("route " + route.kind() + " uses removed pool " + stage.pool());
+                }
+            }
+        }
+        return new Result(merged, List.copyOf(conflicts));
+    }
+
+    private static <T> List<T> mergeEntries(
+            String label,
+            List<T> base,
+            List<T> mine,
+            List<T> theirs,
+            Function<T, String> name,
+            List<String> conflicts) {
+        Map<String, T> baseByName = byName(base, name);
+        Map<String, T> mineByName = byName(mine, name);
+        Map<String, T> theirsByName = byName(theirs, name);
+        Set<String> names = new LinkedHashSet<>(theirsByName.keySet());
+        names.addAll(mineByName.keySet());
+        List<T> merged = new ArrayList<>();
+        for (String key : names) {
+            T original = baseByName.get(key);
+            T own = mineByName.get(key);
+            T other = theirsByName.get(key);
+            boolean ownChanged = !Objects.equals(own, original);
+            boolean otherChanged = !Objects.equals(other, original);
+            if (ownChanged && otherChanged && !Objects.equals(own, other)) {
+                conflicts.add(label + key);
+            }
+            T kept = ownChanged ? own : other;
+            if (kept != null) {
+                merged.add(kept);
+            }
+        }
+        return List.copyOf(merged);
+    }
+
+    private static <T> Map<String, T> byName(List<T> entries, Function<T, String> name) {
+        Map<String, T> byName = new LinkedHashMap<>();
+        entries.forEach(entry -> byName.put(name.apply(entry), entry));
+        return byName;
+    }
+
+    /**
+     * Names the entries in which two versions differ.
+     *
+     * @param before one version
+     * @param after the other
+     * @return a line for each entry that was added, removed or changed
+     */
+    public static List<String> difference(Tables before, Tables after) {
+        List<String> lines = new ArrayList<>();
+        addDifference(lines, "pool ", byName(before.pools(), Pool::name), byName(after.pools(), Pool::name));
+        addDifference(lines, "route ", byName(before.routes(), Route::kind), byName(after.routes(), Route::kind));
+        return lines;
+    }
+
+    private static <T> void addDifference(
+            List<String> lines, String label, Map<String, T> before, Map<String, T> after) {
+        Set<String> names = new LinkedHashSet<>(before.keySet());
+        names.addAll(after.keySet());
+        for (String name : names) {
+            T old = before.get(name);
+            T changed = after.get(name);
+            if (old == null) {
+                lines.add("+ " + label + name + ": " + changed);
+            } else if (changed == null) {
+                lines.add("- " + label + name + ": " + old);
+            } else if (!old.equals(changed)) {
+                lines.add("~ " + label + name + ": " + old + " -> " + changed);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/pimentovale/toml/TomlSection.java
@@ -0,0 +1,295 @@
+package org.pimentovale.toml;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/**
+ * Reads one table of a TOML file and collects every problem met.
+ *
+ * <p>Invariant: each key that was asked for is known; {@link #close()} reports the others, with the nearest known name.
+ * A getter that reports a problem returns its fallback, so that reading goes on. Not thread safe.
+ */
+public final class TomlSection implements AutoCloseable {
+    private static final int NEAR_NAME_DISTANCE = 3;
+
+    private final String file;
+    private final String prefix;
+    private final TomlTable table;
+    private final int line;
+    private final List<TomlProblem> problems;
+    private final Set<String> known = new HashSet<>();
+
+    private TomlSection(String file, String prefix, TomlTable table, int line, List<TomlProblem> problems) {
+        this.file = file;
+        this.prefix = prefix;
+        this.table = table;
+        this.line = line;
+        this.problems = problems;
+    }
+
+    /**
+     * Parses a file's text.
+     *
+     * @param file the file's name, for messages
+     * @param text the TOML text
+     * @param problems receives each problem
+     * @return the root table, empty where the text could not be parsed
+     */
+    public static TomlSection parse(String file, String text, List<TomlProblem> problems) {
+        TomlParseResult result = Toml.parse(text);
+        result.errors()
+                .forEach(error -> problems.add(new TomlProblem(
+                        file, error.position().line(), "(syntax)", firstLine(error.getMessage()), "valid TOML 1.0")));
+        return new TomlSection(file, "", result, 0, problems);
+    }
+
+    private static String firstLine(String text) {
+        return text == null ? "" : text.lines().findFirst().orElse("");
+    }
+
+    /**
+     * Returns the names of the keys that stand in this table.
+     *
+     * @return the names
+     */
+    public Set<String> keys() {
+        return table.keySet();
+    }
+
+    /**
+     * Returns a table below this one.
+     *
+     * @param key its name
+     * @return the table, empty where it is absent
+     */
+    public TomlSection section(String key) {
+        known.add(key);
+        Object value = table.get(List.of(key));
+        if (value != null && !(value instanceof TomlTable)) {
+            report(key, value, "a table");
+        }
+        TomlTable found = value instanceof TomlTable ? (TomlTable) value : Toml.parse("");
+        return new TomlSection(file, prefix + key + ".", found, lineOf(key), problems);
+    }
+
+    /**
+     * Returns the tables of an array.
+     *
+     * @param key the array's name
+     * @return the tables, in order
+     */
+    public List<TomlSection> sections(String key) {
+        known.add(key);
+        Object value = table.get(List.of(key));
+        List<TomlSection> sections = new ArrayList<>();
+        if (value == null) {
+            return sections;
+        }
+        if (!(value instanceof TomlArray array)) {
+            report(key, value, "an array of tables");
+            return sections;
+        }
+        for (int position = 0; position < array.size(); position++) {
+            TomlPosition place = array.inputPositionOf(position);
+            int entryLine = place == null ? lineOf(key) : place.line();
+            if (array.get(position) instanceof TomlTable entry) {
+                sections.add(new TomlSection(file, prefix + key + "[" + position + "].", entry, entryLine, problems));
+            } else {
+                report(key, array.get(position), "a table");
+            }
+        }
+        return sections;
+    }
+
+    /**
+     * Returns a required text.
+     *
+     * @param key its name
+     * @return the text, empty after a problem
+     */
+    public String text(String key) {
+        Optional<String> found = optionalText(key);
+        if (found.isEmpty() && !table.contains(List.of(key))) {
+            report(key, "nothing", "a text");
+        }
+        return found.orElse("");
+    }
+
+    /**
+     * Returns a text that may be absent.
+     *
+     * @param key its name
+     * @return the text
+     */
+    public Optional<String> optionalText(String key) {
+        known.add(key);
+        Object value = table.get(List.of(key));
+        if (value == null) {
+            return Optional.empty();
+        }
+        if (value instanceof String text && !text.isBlank()) {
+            return Optional.of(text);
+        }
+        report(key, value, "a text that is not empty");
+        return Optional.empty();
+    }
+
+    /**
+     * Returns a list of texts.
+     *
+     * @param key its name
+     * @return the texts, none where the key is absent
+     */
+    public List<String> texts(String key) {
+        known.add(key);
+        List<String> texts = new ArrayList<>();
+        for (Object value : values(key)) {
+            if (value instanceof String text) {
+                texts.add(text);
+            } else {
+                report(key, value, "texts");
+            }
+        }
+        return texts;
+    }
+
+    /**
+     * Returns a list of whole numbers.
+     *
+     * @param key its name
+     * @return the numbers, none where the key is absent
+     */
+    public List<Integer> numbers(String key) {
+        known.add(key);
+        List<Integer> numbers = new ArrayList<>();
+        for (Object value : values(key)) {
+            if (value instanceof Long number) {
+                numbers.add(number.intValue());
+            } else {
+                report(key, value, "whole numbers");
+            }
+        }
+        return numbers;
+    }
+
+    private List<Object> values(String key) {
+        Object value = table.get(List.of(key));
+        if (value == null) {
+            return List.of();
+        }
+        if (value instanceof TomlArray array) {
+            return array.toList();
+        }
+        report(key, value, "a list");
+        return List.of();
+    }
+
+    /**
+     * Returns a whole number within bounds.
+     *
+     * @param key its name
+     * @param fallback used where the key is absent
+     * @param lowest the lowest allowed number
+     * @param highest the highest allowed number
+     * @return the number
+     */
+    public int number(String key, int fallback, int lowest, int highest) {
+        known.add(key);
+        Object value = table.get(List.of(key));
+        if (value == null) {
+            if (fallback < lowest) {
+                report(key, "nothing", "a whole number from " + lowest + " to " + highest);
+            }
+            return fallback;
+        }
+        if (value instanceof Long number && number >= lowest && number <= highest) {
+            return number.intValue();
+        }
+        report(key, value, "a whole number from " + lowest + " to " + highest);
+        return Math.max(fallback, lowest);
+    }
+
+    /**
+     * Returns true or false.
+     *
+     * @param key its name
+     * @param fallback used where the key is absent
+     * @return the value
+     */
+    public boolean flag(String key, boolean fallback) {
+        known.add(key);
+        Object value = table.get(List.of(key));
+        if (value == null) {
+            return fallback;
+        }
+        if (value instanceof Boolean flag) {
+            return flag;
+        }
+        report(key, value, "true or false");
+        return fallback;
+    }
+
+    /**
+     * Reports a problem with a value.
+     *
+     * @param key its name
+     * @param given what stands there
+     * @param allowed what may stand there
+     */
+    public void report(String key, Object given, String allowed) {
+        problems.add(new TomlProblem(file, lineOf(key), prefix + key, String.valueOf(given), allowed));
+    }
+
+    private int lineOf(String key) {
+        TomlPosition position = table.inputPositionOf(List.of(key));
+        return position == null ? line : position.line();
+    }
+
+    /** Reports each key that was never asked for. */
+    @Override
+    public void close() {
+        for (String key : table.keySet()) {
+            if (!known.contains(key)) {
+                report(
+                        key,
+                        "an unknown key",
+                        nearest(key)
+                                .map(name -> "did you mean " + name + "?")
+                                .orElse("one of " + known.stream().sorted().toList()));
+            }
+        }
+    }
+
+    private Optional<String> nearest(String key) {
+        return known.stream()
+                .filter(name -> distance(key, name) <= NEAR_NAME_DISTANCE)
+                .min(Comparator.comparingInt(name -> distance(key, name)));
+    }
+
+    /** Levenshtein distance. */
+    private static int distance(String left, String right) {
+        int[] previous = new int[right.length() + 1];
+        for (int column = 0; column <= right.length(); column++) {
+            previous[column] = column;
+        }
+        for (int row = 1; row <= left.length(); row++) {
+            int[] current = new int[right.length() + 1];
+            current[0] = row;
+            for (int column = 1; column <= right.length(); column++) {
+                int replaced = previous[column - 1] + (left.charAt(row - 1) == right.charAt(column - 1) ? 0 : 1);
+                current[column] = Math.min(replaced, 1 + Math.min(previous[column], current[column - 1]));
+            }
+            previous = current;
+        }
+        return previous[right.length()];
+    }
+}
--- /dev/null
+++ b/proof/src/test/java/org/pimentovale/proof/Fleet.java
@@ -0,0 +1,263 @@
+package org.pimentovale.proof;
+
+import io.vertx.core.Deployable;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.pimentovale.standin.EndpointModel;
+import org.pimentovale.standin.EndpointStandIn;
+import org.pimentovale.standin.StoreStandIn;
+
+/** Entry daemons as processes, before stand-ins that this process runs. */
+final class Fleet implements AutoCloseable {
+    static final String KEY = "proof-key";
+
+    private final Vertx vertx = Vertx.vertx();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final Path directory;
+    private final List<Entry> entries = new ArrayList<>();
+    private final StoreStandIn store = new StoreStandIn(0);
+    private final StringBuilder settingsAdditions = new StringBuilder();
+
+    /** An entry daemon with its ports. */
+    record Entry(DaemonProcess process, int callerPort, int operatorPort) {
+        String callers() {
+            return "http://127.0.0.1:" + callerPort;
+        }
+    }
+
+    Fleet() {
+        try {
+            directory = Files.createTempDirectory("fleet");
+            Files.writeString(directory.resolve("key"), KEY);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+        deploy(store);
+    }
+
+    private void deploy(Deployable standIn) {
+        vertx.deployVerticle(standIn).toCompletionStage().toCompletableFuture().join();
+    }
+
+    Path directory() {
+        return directory;
+    }
+
+    HttpClient client() {
+        return client;
+    }
+
+    int storePort() {
+        return store.actualPort();
+    }
+
+    EndpointStandIn endpoint(EndpointModel model) {
+        EndpointStandIn endpoint = new EndpointStandIn(0, model);
+        deploy(endpoint);
+        return endpoint;
+    }
+
+    static EndpointModel service(int workMs) {
+        return new EndpointModel(64, 64, 0, workMs, 1, 8, 0);
+    }
+
+    static EndpointModel engine(int tokenMs, int tokens) {
+        return new EndpointModel(64, 64, 0, 5, tokenMs, tokens, 0);
+    }
+
+    Fleet withSettings(String toml) {
+        settingsAdditions.append(toml).append('\n');
+        return this;
+    }
+
+    /** Puts tables in force by the operators' tool, and fails where it does not accept them. */
+    void apply(String tables) {
+        int exit = tool(
+                "configuration", "apply", "--file", write("tables.toml", tables).toString());
+        if (exit != 0) {
+            throw new AssertionError("apply ended with " + exit);
+        }
+    }
+
+    int tool(String... words) {
+        List<String> arguments = new ArrayList<>(List.of(words));
+        arguments.addAll(List.of(
+                "--platform-address",
+                "127.0.0.1:" + storePort(),
+                "--key-file",
+                directory.resolve("key").toString()));
+        return org.pimentovale.tool.OperatorTool.run(arguments.toArray(String[]::new), System.out, System.err);
+    }
+
+    Path write(String name, String text) {
+        try {
+            return Files.writeString(directory.resolve(name), text);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    Entry entry(String name, String zone) {
+        return entry(name, zone, "127.0.0.1:" + storePort());
+    }
+
+    Entry entry(String name, String zone, String platformAddress) {
+        String settings =
+                """
+                [instance]
+                name = "%s"
+                zone = "%s"
+                workers = 1
+                [callers]
+                port = 0
+                [operators]
+                port = 0
+                key_file = "key"
+                [peers]
+                port = 0
+                key_file = "key"
+                [platform]
+                plugin = "http"
+                address = "%s"
+                call_timeout_ms = 500
+                [limits]
+                probes_per_second = 200
+                """
+                        .formatted(name, zone, platformAddress);
+        Path file = write(name + ".toml", merge(settings));
+        DaemonProcess process =
+                DaemonProcess.start(directory, "org.pimentovale.daemon.EntryDaemon", "--settings", file.toString());
+        int operatorPort = DaemonProcess.valueOf(process.awaitLine("event=operators_listening"), "port");
+        int callerPort = DaemonProcess.valueOf(process.awaitLine("event=callers_listening"), "port");
+        process.awaitLine("event=instance_started");
+        Entry entry = new Entry(process, callerPort, operatorPort);
+        entries.add(entry);
+        return entry;
+    }
+
+    private String merge(String settings) {
+        return settings + settingsAdditions;
+    }
+
+    HttpRequest.Builder request(Entry entry, String kind, String body) {
+        return HttpRequest.newBuilder(URI.create(entry.callers() + "/v1/requests/" + kind))
+                .timeout(Duration.ofSeconds(30))
+                .header("Content-Type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+
+    HttpResponse<String> send(HttpRequest request) {
+        return sendLater(request).join();
+    }
+
+    CompletableFuture<HttpResponse<String>> sendLater(HttpRequest request) {
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    HttpResponse<String> ask(Entry entry, String kind, String body) {
+        return send(request(entry, kind, body).build());
+    }
+
+    HttpResponse<String> book(Entry entry, String key) {
+        return bookLater(entry, key).join();
+    }
+
+    CompletableFuture<HttpResponse<String>> bookLater(Entry entry, String key) {
+        return sendLater(request(entry, "booking", "{\"slot\":\"" + key + "\"}")
+                .header("Idempotency-Key", key)
+                .build());
+    }
+
+    /** Sends a command to a stand-in. */
+    String command(int port, String path, String body) {
+        return commandLater(port, path, body).join().body();
+    }
+
+    CompletableFuture<HttpResponse<String>> commandLater(int port, String path, String body) {
+        return sendLater(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build());
+    }
+
+    void storeFaults(JsonObject faults) {
+        command(storePort(), "/faults", faults.encode());
+    }
+
+    JsonArray runs(EndpointStandIn endpoint) {
+        return new JsonArray(command(endpoint.actualPort(), "/runs", ""));
+    }
+
+    JsonObject stats(EndpointStandIn endpoint) {
+        return new JsonObject(command(endpoint.actualPort(), "/stats", ""));
+    }
+
+    String operatorGet(Entry entry, String path) {
+        return send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + entry.operatorPort() + path))
+                        .header("Authorization", "Bearer " + KEY)
+                        .GET()
+                        .build())
+                .body();
+    }
+
+    /** Repeats a look until it satisfies, with a pause given by a timer. */
+    boolean eventually(long withinMs, java.util.function.BooleanSupplier condition) {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(withinMs);
+        while (System.nanoTime() < endNanos) {
+            if (condition.getAsBoolean()) {
+                return true;
+            }
+            vertx.timer(20).toCompletionStage().toCompletableFuture().join();
+        }
+        return condition.getAsBoolean();
+    }
+
+    static String pool(String name, String protocol, String additions, Object... addressesAndZones) {
+        StringBuilder pool = new StringBuilder("[[pool]]\nname = \"" + name + "\"\nprotocol = \"" + protocol
+                + "\"\nlimit = 32\nexpected_ms = 20\n" + additions + "\n");
+        for (int position = 0; position < addressesAndZones.length; position += 2) {
+            int port = ((EndpointStandIn) addressesAndZones[position]).actualPort();
+            pool.append("[[pool.endpoint]]\naddress = \"127.0.0.1:")
+                    .append(port)
+                    .append("\"\nzone = \"")
+                    .append(addressesAndZones[position + 1])
+                    .append("\"\n");
+        }
+        return pool.toString();
+    }
+
+    static String route(String kind, int deadlineMs, String urgency, String... stagesAndPools) {
+        StringBuilder route = new StringBuilder("[[route]]\nkind = \"" + kind + "\"\ndeadline_ms = " + deadlineMs
+                + "\nurgency = \"" + urgency + "\"\n");
+        for (int position = 0; position < stagesAndPools.length; position += 2) {
+            String stage = stagesAndPools[position];
+            route.append("[[route.stage]]\nname = \"")
+                    .append(stage.replace("!", ""))
+                    .append("\"\npool = \"")
+                    .append(stagesAndPools[position + 1])
+                    .append("\"\n")
+                    .append(stage.startsWith("!") ? "idempotent = false\n" : "");
+        }
+        return route.toString();
+    }
+
+    @Override
+    public void close() {
+        entries.forEach(entry -> entry.process().close());
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/pimentovale/standin/StandInProgram.java
@@ -0,0 +1,71 @@
+package org.pimentovale.standin;
+
+import io.vertx.core.Deployable;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** Runs one stand-in as a process; prints {@code listening port=N} once it answers. */
+public final class StandInProgram {
+    @Argument(required = true, metaVar = "store|endpoint", usage = "what to stand in for")
+    private String role;
+
+    @Option(name = "--port", usage = "TCP port, zero for one that the system chooses")
+    private int port;
+
+    @Option(name = "--limit", usage = "requests that an endpoint runs at once")
+    private int limit = 8;
+
+    @Option(name = "--cold-limit", usage = "requests at once beyond which a cold endpoint falls over")
+    private int coldLimit = 1;
+
+    @Option(name = "--cold-requests", usage = "requests after which an endpoint is warm")
+    private int coldRequests;
+
+    @Option(name = "--work-ms", usage = "time of a call, or until the first token")
+    private int workMs = 20;
+
+    @Option(name = "--token-ms", usage = "time between two tokens")
+    private int tokenMs = 2;
+
+    @Option(name = "--tokens", usage = "tokens of an answer")
+    private int tokens = 24;
+
+    @Option(name = "--report-lag-ms", usage = "age of the reported load")
+    private int reportLagMs = 100;
+
+    private StandInProgram() {}
+
+    /**
+     * Runs the stand-in until the process ends.
+     *
+     * @param arguments the command line
+     */
+    public static void main(String[] arguments) {
+        StandInProgram program = new StandInProgram();
+        CmdLineParser parser = new CmdLineParser(program);
+        try {
+            parser.parseArgument(arguments);
+        } catch (CmdLineException failure) {
+            System.err.println(failure.getMessage());
+            parser.printUsage(System.err);
+            System.exit(2);
+        }
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        vertx.deployVerticle(program.standIn()).onFailure(failure -> {
+            System.err.println("cannot start: " + failure.getMessage());
+            System.exit(1);
+        });
+    }
+
+    private Deployable standIn() {
+        if (role.equals("store")) {
+            return new StoreStandIn(port);
+        }
+        return new EndpointStandIn(
+                port, new EndpointModel(limit, coldLimit, coldRequests, workMs, tokenMs, tokens, reportLagMs));
+    }
+}
--- /dev/null
+++ b/tool/src/main/java/org/pimentovale/tool/ConfigurationApplyCommand.java
@@ -0,0 +1,41 @@
+package org.pimentovale.tool;
+
+import java.util.Optional;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+import org.pimentovale.platform.change.ConfigurationEdit;
+import org.pimentovale.platform.change.ConfigurationEditor;
+import org.pimentovale.table.Configuration;
+import org.pimentovale.table.Tables;
+import org.pimentovale.table.TablesFile;
+
+/** The command {@code configuration apply}. Stateless and thread safe. */
+public final class ConfigurationApplyCommand implements ToolCommand {
+    @Override
+    public String name() {
+        return "configuration apply";
+    }
+
+    @Override
+    public String help() {
+        return "--file FILE: put tables in force; zones taken out stay out";
+    }
+
+    @Override
+    public ExitCode run(ToolSession session) {
+        TablesFile file = session.tables();
+        ConfigurationEditor editor = session.editor();
+        Configuration current = session.await(editor.current());
+        Tables base = current.tables();
+        if (file.baseRevision().isPresent() && file.baseRevision().get() != current.revision()) {
+            Optional<Configuration> earlier =
+                    session.await(editor.earlier(file.baseRevision().get()));
+            base = earlier.orElseThrow(() -> ServingException.notRun(
+                            ErrorCode.CONFIGURATION_CONFLICT,
+                            "revision " + file.baseRevision().get() + " is not kept; in force is "
+                                    + current.revision()))
+                    .tables();
+        }
+        return session.change(ConfigurationEdit.replaceTables(base, file.tables()));
+    }
+}
--- /dev/null
+++ b/tool/src/main/java/org/pimentovale/tool/InstancesShowCommand.java
@@ -0,0 +1,31 @@
+package org.pimentovale.tool;
+
+import java.util.List;
+
+/** The command {@code instances show}. Stateless and thread safe. */
+public final class InstancesShowCommand implements ToolCommand {
+    @Override
+    public String name() {
+        return "instances show";
+    }
+
+    @Override
+    public String help() {
+        return "each instance's revision in force, readiness and load";
+    }
+
+    @Override
+    public ExitCode run(ToolSession session) {
+        return InstanceReport.print(
+                session,
+                "/v1/instance",
+                (address, view) -> List.of(String.format(
+                        "%-22s %-24s zone %-14s revision %-5d %-20s running %d",
+                        address,
+                        view.path("self").path("name").asText(),
+                        view.path("self").path("zone").asText(),
+                        view.path("revision").asLong(),
+                        view.path("reason").asText(),
+                        view.path("running").asInt())));
+    }
+}
--- /dev/null
+++ b/tool/src/main/java/org/pimentovale/tool/OperatorTool.java
@@ -0,0 +1,74 @@
+package org.pimentovale.tool;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.PrintStream;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.pimentovale.error.ServingException;
+import org.pimentovale.plugin.PluginRegistry;
+
+/** The operators' command-line tool. */
+public final class OperatorTool {
+    private OperatorTool() {}
+
+    /**
+     * Runs one command and exits with its code.
+     *
+     * @param arguments the command line
+     */
+    public static void main(String[] arguments) {
+        System.exit(run(arguments, System.out, System.err));
+    }
+
+    /**
+     * Runs one command.
+     *
+     * @param arguments the command line
+     * @param output receives the result
+     * @param errors receives messages
+     * @return the exit code's number
+     */
+    public static int run(String[] arguments, PrintStream output, PrintStream errors) {
+        ToolOptions options = new ToolOptions();
+        CmdLineParser parser = new CmdLineParser(options);
+        PluginRegistry<ToolCommand> commands = new PluginRegistry<>(ToolCommand.class);
+        try {
+            parser.parseArgument(arguments);
+        } catch (CmdLineException failure) {
+            errors.println(failure.getMessage());
+            printHelp(parser, commands, errors);
+            return ExitCode.USAGE.number();
+        }
+        if (options.help() || options.words().size() < 2) {
+            printHelp(parser, commands, options.help() ? output : errors);
+            return options.help() ? ExitCode.DONE.number() : ExitCode.USAGE.number();
+        }
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        try {
+            String name = options.words().get(0) + " " + options.words().get(1);
+            return commands.get(name)
+                    .run(new ToolSession(vertx, options, output))
+                    .number();
+        } catch (ServingException failure) {
+            errors.println(failure.getMessage());
+            errors.println(failure.code().advice());
+            return ExitCode.of(failure.code()).number();
+        } finally {
+            vertx.close();
+        }
+    }
+
+    private static void printHelp(CmdLineParser parser, PluginRegistry<ToolCommand> commands, PrintStream stream) {
+        stream.println("pimentovale COMMAND [OPTION ...]");
+        stream.println();
+        commands.names()
+                .forEach(name ->
+                        stream.printf("  %-24s %s%n", name, commands.get(name).help()));
+        stream.println();
+        parser.printUsage(stream);
+        stream.println();
+        stream.println("Exit codes: 0 done, 1 refused, 2 usage, 3 conflict, 4 not confirmed, 5 unavailable.");
+        stream.println("Example: pimentovale zone out it-north-b --platform-address 127.0.0.1:9000 --key-file key");
+    }
+}
--- /dev/null
+++ b/tool/src/main/java/org/pimentovale/tool/ZoneOutCommand.java
@@ -0,0 +1,21 @@
+package org.pimentovale.tool;
+
+import org.pimentovale.platform.change.ConfigurationEdit;
+
+/** The command {@code zone out}. Stateless and thread safe. */
+public final class ZoneOutCommand implements ToolCommand {
+    @Override
+    public String name() {
+        return "zone out";
+    }
+
+    @Override
+    public String help() {
+        return "ZONE: take an availability zone out of service";
+    }
+
+    @Override
+    public ExitCode run(ToolSession session) {
+        return session.change(ConfigurationEdit.withdrawZone(session.subject()));
+    }
+}
--- /dev/null
+++ b/tool/src/main/java/org/pimentovale/tool/ZoneReturnCommand.java
@@ -0,0 +1,21 @@
+package org.pimentovale.tool;
+
+import org.pimentovale.platform.change.ConfigurationEdit;
+
+/** The command {@code zone return}. Stateless and thread safe. */
+public final class ZoneReturnCommand implements ToolCommand {
+    @Override
+    public String name() {
+        return "zone return";
+    }
+
+    @Override
+    public String help() {
+        return "ZONE: return an availability zone to service";
+    }
+
+    @Override
+    public ExitCode run(ToolSession session) {
+        return session.change(ConfigurationEdit.returnZone(session.subject()));
+    }
+}
