--- a/daemon/src/main/java/org/pimentovale/daemon/EndpointProbing.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/EndpointProbing.java
@@ -13,8 +13,8 @@
 
 /**
  * Probes the endpoints of this instance's subsets within a budget, and holds a connection to each, whose end tells at
- * once that the endpoint went away. Withdrawn endpoints are in no subset and are not probed. Not thread safe; used on one
- * event loop.
+ * once that the endpoint went away. Withdrawn endpoints are in no subset and are not probed. Not thread safe; used on
+ * one event loop.
  */
 final class EndpointProbing {
     private static final int PERIOD_MS = 10;
--- a/daemon/src/main/java/org/pimentovale/daemon/caller/AnswerWriter.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/AnswerWriter.java
@@ -10,8 +10,8 @@
 /**
  * Writes one answer to a caller, as JSON or as server-sent events.
  *
- * <p>Invariant: a stream ends cleanly only after its {@code done} event; after a failure the connection is closed without
- * the end of the body, so that the caller's client sees it. Not thread safe; used on the request's event loop.
+ * <p>Invariant: a stream ends cleanly only after its {@code done} event; after a failure the connection is closed
+ * without the end of the body, so that the caller's client sees it. Not thread safe; used on the request's event loop.
  */
 final class AnswerWriter {
     private static final long MS_PER_S = 1_000;
--- a/daemon/src/main/java/org/pimentovale/daemon/endpoint/EndpointConnection.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/endpoint/EndpointConnection.java
@@ -5,8 +5,8 @@
 /**
  * A connection to one incarnation of an endpoint, used by one exchange at a time.
  *
- * <p>Invariant: the incarnation was reported over this very connection, so that work sent on it reaches that incarnation
- * or nobody. Not thread safe; used on the event loop that opened it.
+ * <p>Invariant: the incarnation was reported over this very connection, so that work sent on it reaches that
+ * incarnation or nobody. Not thread safe; used on the event loop that opened it.
  */
 public final class EndpointConnection {
     private final String address;
--- a/daemon/src/main/java/org/pimentovale/daemon/endpoint/EndpointConnections.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/endpoint/EndpointConnections.java
@@ -25,9 +25,9 @@
 /**
  * One worker's connections to endpoints.
  *
- * <p>Invariants: a connection is handed out only after the endpoint reported its incarnation over it; a connection whose
- * exchange did not end cleanly is closed and never handed out again; the unexpected end of any connection makes the
- * endpoint unverified. Not thread safe; used on one event loop.
+ * <p>Invariants: a connection is handed out only after the endpoint reported its incarnation over it; a connection
+ * whose exchange did not end cleanly is closed and never handed out again; the unexpected end of any connection makes
+ * the endpoint unverified. Not thread safe; used on one event loop.
  */
 public final class EndpointConnections {
     private static final Logger LOG = Logger.getLogger(EndpointConnections.class);
@@ -228,8 +228,8 @@
     }
 
     /**
-     * Closes all idle connections to an endpoint, after one of them was silent: whatever lost track of one may have lost
-     * track of all.
+     * Closes all idle connections to an endpoint, after one of them was silent: whatever lost track of one may have
+     * lost track of all.
      *
      * @param address the endpoint
      */
--- a/daemon/src/main/java/org/pimentovale/daemon/peer/PeerExchange.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/peer/PeerExchange.java
@@ -26,9 +26,9 @@
  * Tells other instances news, and learns theirs.
  *
  * <p>News go at once to a bounded number of instances, which pass on what they did not know; a heartbeat goes to the
- * successors on the ring of names, so that every instance is watched by a few. Up to {@link #SMALL_FLEET} instances this
- * reaches all others directly. Invariant: an instance sends at most {@link #FAN_OUT} messages for a piece of news and for
- * a heartbeat. Thread safe.
+ * successors on the ring of names, so that every instance is watched by a few. Up to {@link #SMALL_FLEET} instances
+ * this reaches all others directly. Invariant: an instance sends at most {@link #FAN_OUT} messages for a piece of news
+ * and for a heartbeat. Thread safe.
  */
 public final class PeerExchange implements EndpointNews {
     private static final Logger LOG = Logger.getLogger(PeerExchange.class);
--- a/daemon/src/main/java/org/pimentovale/daemon/peer/PeerListener.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/peer/PeerListener.java
@@ -15,7 +15,8 @@
 import org.pimentovale.kernel.ServingTables;
 
 /**
- * Answers other instances. Invariant: a message without the key, or one that is malformed, changes nothing. Thread safe.
+ * Answers other instances. Invariant: a message without the key, or one that is malformed, changes nothing. Thread
+ * safe.
  */
 public final class PeerListener {
     private static final Logger LOG = Logger.getLogger(PeerListener.class);
--- a/kernel/src/main/java/org/pimentovale/kernel/schedule/PoolScheduler.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/schedule/PoolScheduler.java
@@ -22,9 +22,9 @@
 /**
  * Decides which work goes to which endpoint of one pool, what waits, and what is refused early.
  *
- * <p>Invariants: an endpoint never runs more requests of this instance than its permits; no grant names an endpoint that
- * was withdrawn, leaving or unverified when it was given; each submitted work is granted, refused or cancelled exactly
- * once. Thread safe; its lock comes before the lock of the warmth table, and listeners are called outside it.
+ * <p>Invariants: an endpoint never runs more requests of this instance than its permits; no grant names an endpoint
+ * that was withdrawn, leaving or unverified when it was given; each submitted work is granted, refused or cancelled
+ * exactly once. Thread safe; its lock comes before the lock of the warmth table, and listeners are called outside it.
  */
 public final class PoolScheduler {
     private static final int PREFIX_CAPACITY = 10_000;
--- a/standin/src/main/java/org/pimentovale/standin/StoreStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/StoreStandIn.java
@@ -20,7 +20,8 @@
 /**
  * The platform's object store and list of instances over HTTP, with faults that a test switches.
  *
- * <p>Every call is counted by operation and kind; a waiting watch counts as one. Not thread safe; used on one event loop.
+ * <p>Every call is counted by operation and kind; a waiting watch counts as one. Not thread safe; used on one event
+ * loop.
  */
 public final class StoreStandIn extends VerticleBase {
     private static final String OBJECTS_PATH = "/v1/objects/";
