--- a/daemon/src/main/java/org/pimentovale/daemon/EntryInstance.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/EntryInstance.java
@@ -174,8 +174,8 @@
                 random);
         return leases.start()
                 .compose(done -> putFirstTables(watch))
+                .compose(done -> watch.start())
                 .compose(done -> {
-                    watch.start();
                     registration.start();
                     exchange.start();
                     new EndpointProbing(vertx, tables, loadProbe, settings.probesPerSecond()).start();
--- a/daemon/src/main/java/org/pimentovale/daemon/claim/StoreHealth.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/claim/StoreHealth.java
@@ -6,15 +6,14 @@
 /**
  * Tells whether the platform's store answers, so that work that needs it is refused at once during an outage.
  *
- * <p>Invariant: during an outage at most one call in each probe period is let through. Thread safe; its lock is a leaf.
+ * <p>Invariant: during an outage no request's work is let through; the periodic reads of the configuration find its end.
+ * Thread safe; its lock is a leaf.
  */
 public final class StoreHealth {
     private static final int FAILURES_OF_AN_OUTAGE = 2;
-    private static final long PROBE_PERIOD_MS = 250;
 
     private final MonotonicClock clock;
     private int consecutiveFailures;
-    private long lastProbeMs = Long.MIN_VALUE / 2;
     private long lastAnswerMs;
 
     /**
@@ -28,20 +27,12 @@
     }
 
     /**
-     * Tells whether a call may be tried.
+     * Tells whether the store answers.
      *
-     * @return true while the store answers, and once in each probe period while it does not
+     * @return false from the second call in a row without an answer until the next answer
      */
     public synchronized boolean available() {
-        if (consecutiveFailures < FAILURES_OF_AN_OUTAGE) {
-            return true;
-        }
-        long nowMs = clock.nowMs();
-        if (nowMs - lastProbeMs < PROBE_PERIOD_MS) {
-            return false;
-        }
-        lastProbeMs = nowMs;
-        return true;
+        return consecutiveFailures < FAILURES_OF_AN_OUTAGE;
     }
 
     /**
--- a/daemon/src/main/java/org/pimentovale/daemon/configuration/ConfigurationWatch.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/configuration/ConfigurationWatch.java
@@ -32,6 +32,7 @@
     private static final int WATCH_MS = 10_000;
     private static final int REPEAT_MS = 200;
     private static final int READ_PERIOD_MS = 1_000;
+    private static final int OUTAGE_READ_PERIOD_MS = 250;
     private static final int READS_PER_PERIOD = 16;
 
     private final Vertx vertx;
@@ -68,10 +69,14 @@
         this.random = random;
     }
 
-    /** Begins to watch and to read. */
-    public void start() {
+    /**
+     * Begins to watch and to read.
+     *
+     * @return completes once the first read has ended, whether or not the store answered
+     */
+    public Future<Void> start() {
         watch();
-        read();
+        return read();
     }
 
     private void watch() {
@@ -86,16 +91,19 @@
         });
     }
 
-    private void read() {
-        health.watch(store.read(KIND, NAME)).onComplete(result -> {
+    private Future<Void> read() {
+        Future<Optional<StoredObject>> stored = health.watch(store.read(KIND, NAME));
+        return stored.<Void>transform(result -> {
             if (result.succeeded()) {
                 result.result().ifPresent(this::offer);
             } else {
                 metrics.storeFailed("read");
             }
             int instances = tables.members().live().size();
-            int periodMs = READ_PERIOD_MS * Math.max(1, instances / READS_PER_PERIOD);
+            int shortestMs = health.available() ? READ_PERIOD_MS : OUTAGE_READ_PERIOD_MS;
+            int periodMs = shortestMs * Math.max(1, instances / READS_PER_PERIOD);
             vertx.setTimer(periodMs / 2 + random.nextInt(periodMs), fired -> read());
+            return Future.succeededFuture();
         });
     }
 
--- /dev/null
+++ b/proof/src/test/java/org/pimentovale/proof/ColdEndpointTest.java
@@ -0,0 +1,162 @@
+package org.pimentovale.proof;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vertx.core.json.JsonObject;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pimentovale.standin.EndpointModel;
+import org.pimentovale.standin.EndpointStandIn;
+
+/** The sum that all entry instances send to a cold endpoint stays within what it bears. */
+class ColdEndpointTest {
+    private static final int COLD_REQUESTS = 6;
+
+    private final Fleet fleet = new Fleet();
+    private final List<EndpointStandIn> engines = new ArrayList<>();
+    private final List<Fleet.Entry> entries = new ArrayList<>();
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    private void start(int engineCount, int entryCount) {
+        Object[] endpoints = new Object[2 * engineCount];
+        for (int position = 0; position < engineCount; position++) {
+            EndpointStandIn engine = fleet.endpoint(new EndpointModel(16, 2, COLD_REQUESTS, 10, 2, 10, 0));
+            engines.add(engine);
+            endpoints[2 * position] = engine;
+            endpoints[2 * position + 1] = "zone-a";
+        }
+        fleet.apply(Fleet.pool("engine", "chat", "cold_limit = 2\nwarm_after_requests = " + COLD_REQUESTS, endpoints)
+                        .replace("limit = 32", "limit = 16")
+                + Fleet.route("chat", 15_000, "interactive", "generate", "engine"));
+        for (int position = 0; position < entryCount; position++) {
+            entries.add(fleet.entry("entry-" + position, "zone-a"));
+        }
+    }
+
+    private List<CompletableFuture<HttpResponse<String>>> load(int count) {
+        List<CompletableFuture<HttpResponse<String>>> requests = new ArrayList<>();
+        for (int position = 0; position < count; position++) {
+            Fleet.Entry entry = entries.get(position % entries.size());
+            String body = "{\"prompt\":\"request " + position + "\"}";
+            requests.add(fleet.sendLater(fleet.request(entry, "chat", body).build()));
+        }
+        return requests;
+    }
+
+    private long answered(List<CompletableFuture<HttpResponse<String>>> requests) {
+        return requests.stream()
+                .filter(request -> request.join().statusCode() == 200)
+                .count();
+    }
+
+    private int collapses() {
+        return engines.stream()
+                .mapToInt(engine -> fleet.stats(engine).getInteger("collapses"))
+                .sum();
+    }
+
+    private void assertNeverTooMuch() {
+        assertThat(collapses()).isEqualTo(0);
+        for (EndpointStandIn engine : engines) {
+            assertThat(fleet.stats(engine).getInteger("largest_cold_in_flight")).isAtMost(2);
+        }
+    }
+
+    @Nested
+    class AtTheFirstStart {
+        @Test
+        void everythingIsColdAndEveryRequestIsAnswered() {
+            start(2, 3);
+            assertThat(answered(load(120))).isEqualTo(120);
+            assertNeverTooMuch();
+        }
+    }
+
+    @Nested
+    class WhenAnEndpointTurnsColdWithoutWarning {
+        @Test
+        void noInstanceSendsItAFullShare() {
+            start(2, 3);
+            assertThat(answered(load(90))).isEqualTo(90);
+            for (int round = 0; round < 3; round++) {
+                List<CompletableFuture<HttpResponse<String>>> before = load(60);
+                fleet.command(engines.get(round % 2).actualPort(), "/faults", "{\"restart\":true}");
+                List<CompletableFuture<HttpResponse<String>>> after = load(120);
+                assertThat(answered(before) + answered(after)).isAtLeast(160L);
+                assertNeverTooMuch();
+            }
+        }
+    }
+
+    @Nested
+    class WhenEveryEntryInstanceRestarts {
+        @Test
+        void aWarmPoolServesAtOnceAndAColdOneIsSpared() {
+            start(2, 3);
+            assertThat(answered(load(90))).isEqualTo(90);
+            entries.forEach(entry -> entry.process().kill());
+            entries.clear();
+            fleet.command(engines.get(1).actualPort(), "/faults", "{\"restart\":true}");
+            for (int position = 0; position < 3; position++) {
+                entries.add(fleet.entry("again-" + position, "zone-a"));
+            }
+            assertThat(answered(load(150))).isEqualTo(150);
+            assertNeverTooMuch();
+        }
+    }
+
+    @Nested
+    class WhenTheLeaseHolderIsFrozen {
+        @Test
+        void anotherTakesOverAndTheOldOneDoesNoHarmWhenItWakesUp() {
+            start(1, 2);
+            EndpointStandIn engine = engines.get(0);
+            fleet.command(engine.actualPort(), "/faults", "{\"slow_factor\":40}");
+            List<CompletableFuture<HttpResponse<String>>> requests = load(8);
+            Fleet.Entry holder = holder();
+            Fleet.Entry other = entries.get(0) == holder ? entries.get(1) : entries.get(0);
+            holder.process().freeze();
+            other.process().awaitLine("event=warmup_lease_taken");
+            holder.process().thaw();
+            assertThat(answered(requests)).isEqualTo(8);
+            assertNeverTooMuch();
+        }
+
+        private Fleet.Entry holder() {
+            Fleet.Entry[] found = new Fleet.Entry[1];
+            assertThat(fleet.eventually(5_000, () -> {
+                        entries.stream()
+                                .filter(entry -> entry.process().output().stream()
+                                        .anyMatch(line -> line.contains("event=warmup_lease_taken")))
+                                .findFirst()
+                                .ifPresent(entry -> found[0] = entry);
+                        return found[0] != null;
+                    }))
+                    .isTrue();
+            return found[0];
+        }
+    }
+
+    @Nested
+    class WhileTheStoreIsDown {
+        @Test
+        void warmEndpointsServeOnAndAColdOneGetsNothingBeyondItsLimit() {
+            start(2, 3);
+            assertThat(answered(load(90))).isEqualTo(90);
+            fleet.storeFaults(new JsonObject().put("outage", true));
+            fleet.command(engines.get(1).actualPort(), "/faults", "{\"restart\":true}");
+            assertThat(answered(load(90))).isAtLeast(85L);
+            assertThat(answered(load(60))).isEqualTo(60);
+            assertNeverTooMuch();
+        }
+    }
+}
--- a/proof/src/test/java/org/pimentovale/proof/Fleet.java
+++ b/proof/src/test/java/org/pimentovale/proof/Fleet.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.pimentovale.standin.EndpointModel;
 import org.pimentovale.standin.EndpointStandIn;
@@ -24,6 +25,7 @@
 /** Entry daemons as processes, before stand-ins that this process runs. */
 final class Fleet implements AutoCloseable {
     static final String KEY = "proof-key";
+    private static final long COMMAND_MS = 3_000;
 
     private final Vertx vertx = Vertx.vertx();
     private final HttpClient client =
@@ -31,7 +33,7 @@
     private final Path directory;
     private final List<Entry> entries = new ArrayList<>();
     private final StoreStandIn store = new StoreStandIn(0);
-    private final StringBuilder settingsAdditions = new StringBuilder();
+    private String seeds = "";
 
     /** An entry daemon with its ports. */
     record Entry(DaemonProcess process, int callerPort, int operatorPort) {
@@ -80,11 +82,6 @@
         return new EndpointModel(64, 64, 0, 5, tokenMs, tokens, 0);
     }
 
-    Fleet withSettings(String toml) {
-        settingsAdditions.append(toml).append('\n');
-        return this;
-    }
-
     /** Puts tables in force by the operators' tool, and fails where it does not accept them. */
     void apply(String tables) {
         int exit = tool(
@@ -131,6 +128,7 @@
                 [peers]
                 port = 0
                 key_file = "key"
+                %s
                 [platform]
                 plugin = "http"
                 address = "%s"
@@ -138,8 +136,8 @@
                 [limits]
                 probes_per_second = 200
                 """
-                        .formatted(name, zone, platformAddress);
-        Path file = write(name + ".toml", merge(settings));
+                        .formatted(name, zone, seeds, platformAddress);
+        Path file = write(name + ".toml", settings);
         DaemonProcess process =
                 DaemonProcess.start(directory, "org.pimentovale.daemon.EntryDaemon", "--settings", file.toString());
         int operatorPort = DaemonProcess.valueOf(process.awaitLine("event=operators_listening"), "port");
@@ -150,8 +148,24 @@
         return entry;
     }
 
-    private String merge(String settings) {
-        return settings + settingsAdditions;
+    Entry entryWithSeeds(String name, String zone, String peer) {
+        seeds = "seeds = [\"" + peer + "\"]";
+        try {
+            return entry(name, zone);
+        } finally {
+            seeds = "";
+        }
+    }
+
+    /** Overwrites the stored configuration behind everybody's back. */
+    void damageConfiguration(String value) {
+        String url = "http://127.0.0.1:" + storePort() + "/v1/objects/configuration/current";
+        HttpResponse<String> standing =
+                send(HttpRequest.newBuilder(URI.create(url)).GET().build());
+        send(HttpRequest.newBuilder(URI.create(url))
+                .header("If-Match", standing.headers().firstValue("ETag").orElseThrow())
+                .PUT(HttpRequest.BodyPublishers.ofString(value))
+                .build());
     }
 
     HttpRequest.Builder request(Entry entry, String kind, String body) {
@@ -183,9 +197,21 @@
                 .build());
     }
 
-    /** Sends a command to a stand-in. */
+    /** Sends a command to a stand-in, which may be between two incarnations. */
     String command(int port, String path, String body) {
-        return commandLater(port, path, body).join().body();
+        String[] answer = new String[1];
+        boolean answered = eventually(COMMAND_MS, () -> {
+            try {
+                answer[0] = commandLater(port, path, body).join().body();
+                return true;
+            } catch (CompletionException restarting) {
+                return false;
+            }
+        });
+        if (!answered) {
+            throw new AssertionError("stand-in " + port + " does not answer " + path);
+        }
+        return answer[0];
     }
 
     CompletableFuture<HttpResponse<String>> commandLater(int port, String path, String body) {
