--- /dev/null
+++ b/daemon/src/test/java/org/pimentovale/daemon/protocol/ChatStageProtocolTest.java
@@ -0,0 +1,80 @@
+package org.pimentovale.daemon.protocol;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.vertx.core.buffer.Buffer;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+
+class ChatStageProtocolTest {
+    private static final String WHOLE =
+            event("a", "juni", "null") + event("a", "per è ", "null") + event("a", "", "\"stop\"") + "data: [DONE]\n\n";
+
+    private static String event(String identifier, String text, String finishReason) {
+        return "data: {\"id\":\"" + identifier + "\",\"choices\":[{\"delta\":{\"content\":\"" + text
+                + "\"},\"finish_reason\":" + finishReason + "}]}\n\n";
+    }
+
+    private static AnswerReader reader(StringBuilder deltas) {
+        StageRequest request = new StageRequest(
+                "r",
+                "a",
+                "s",
+                "m",
+                JsonNodeFactory.instance.objectNode(),
+                Map.of(),
+                Optional.empty(),
+                Optional.empty(),
+                "urgent",
+                1_000);
+        return new ChatStageProtocol().reader(request, 200, deltas::append);
+    }
+
+    private static void feed(AnswerReader reader, String text, List<Integer> cuts) {
+        byte[] bytes = text.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        int start = 0;
+        for (int cut : cuts) {
+            int end = Math.min(bytes.length, start + cut);
+            reader.accept(Buffer.buffer(java.util.Arrays.copyOfRange(bytes, start, end)));
+            start = end;
+        }
+        reader.accept(Buffer.buffer(java.util.Arrays.copyOfRange(bytes, start, bytes.length)));
+    }
+
+    @Property(tries = 300, seed = "42")
+    void aWholeStreamIsReadWhereverItIsCut(@ForAll @Size(max = 12) List<@IntRange(min = 1, max = 60) Integer> cuts) {
+        StringBuilder deltas = new StringBuilder();
+        AnswerReader reader = reader(deltas);
+        feed(reader, WHOLE, cuts);
+        assertThat(reader.terminated()).isTrue();
+        assertThat(reader.finish().value().get("text").asText()).isEqualTo("juniper è ");
+        assertThat(deltas.toString()).isEqualTo("juniper è ");
+    }
+
+    @Property(tries = 300, seed = "42")
+    void aStreamThatEndsEarlyIsNeverWhole(@ForAll @IntRange(min = 0, max = 200) int length) {
+        int end = Math.min(length, WHOLE.indexOf("[DONE]"));
+        AnswerReader reader = reader(new StringBuilder());
+        feed(reader, WHOLE.substring(0, end), List.of(7, 30));
+        ServingException failure = assertThrows(ServingException.class, reader::finish);
+        assertThat(failure.code()).isEqualTo(ErrorCode.STREAM_TRUNCATED);
+    }
+
+    @Property(tries = 50, seed = "42")
+    void anEventOfAnotherRequestIsRejectedAtAnyPlace(@ForAll @IntRange(min = 0, max = 5) int place) {
+        AnswerReader reader = reader(new StringBuilder());
+        feed(reader, event("a", "x", "null").repeat(place), List.of());
+        ServingException failure =
+                assertThrows(ServingException.class, () -> feed(reader, event("b", "y", "null"), List.of(11)));
+        assertThat(failure.code()).isEqualTo(ErrorCode.ANSWER_MISMATCHED);
+    }
+}
--- /dev/null
+++ b/kernel/src/test/java/org/pimentovale/kernel/configuration/ConfigurationTableTest.java
@@ -0,0 +1,26 @@
+package org.pimentovale.kernel.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.pimentovale.table.Configuration;
+import org.pimentovale.table.Tables;
+
+class ConfigurationTableTest {
+    @Property(tries = 500, seed = "42")
+    void theRevisionInForceNeverDecreases(@ForAll List<@LongRange(min = 1, max = 50) Long> offered) {
+        ConfigurationTable table = new ConfigurationTable();
+        List<Long> seen = new ArrayList<>();
+        table.addListener(inForce -> seen.add(inForce.revision()));
+        for (long revision : offered) {
+            table.offer(new Configuration(Configuration.SCHEMA, revision, List.of(), Tables.EMPTY, List.of()));
+        }
+        assertThat(seen).isInStrictOrder();
+        assertThat(table.revision())
+                .isEqualTo(offered.stream().mapToLong(Long::longValue).max().orElse(0));
+    }
+}
--- /dev/null
+++ b/kernel/src/test/java/org/pimentovale/kernel/membership/MemberTableTest.java
@@ -0,0 +1,55 @@
+package org.pimentovale.kernel.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class MemberTableTest {
+    private static Member member(int number) {
+        return new Member("member-" + number, "zone", "host:" + number, "host:" + number);
+    }
+
+    @Nested
+    class Liveness {
+        @Test
+        void aSilentMemberStopsCountingUntilItIsHeardAgain() {
+            MemberTable table = new MemberTable(member(0));
+            table.setRegistered(List.of(member(0), member(1), member(2)), 0);
+            assertThat(table.live()).hasSize(3);
+            table.declareDead("member-1", 10);
+            assertThat(table.live()).containsExactly(member(0), member(2));
+            table.heard(member(1), 20);
+            assertThat(table.live()).hasSize(3);
+        }
+    }
+
+    @Nested
+    class Duties {
+        @Test
+        void exactlyOneOfManyIsPreferredForEachDutyAndDutiesSpread() {
+            List<Member> all = new ArrayList<>();
+            for (int number = 0; number < 8; number++) {
+                all.add(member(number));
+            }
+            int[] preferred = new int[8];
+            for (int duty = 0; duty < 800; duty++) {
+                int first = 0;
+                for (int number = 0; number < 8; number++) {
+                    MemberTable table = new MemberTable(member(number));
+                    table.setRegistered(all, 0);
+                    if (table.rank("duty-" + duty) == 0) {
+                        first++;
+                        preferred[number]++;
+                    }
+                }
+                assertThat(first).isEqualTo(1);
+            }
+            for (int count : preferred) {
+                assertThat(count).isIn(com.google.common.collect.Range.closed(60, 140));
+            }
+        }
+    }
+}
