--- a/daemon/src/main/java/org/pimentovale/daemon/caller/StageRun.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/StageRun.java
@@ -53,6 +53,7 @@
     private Optional<StageExchange> exchange = Optional.empty();
     private boolean cancelled;
     private boolean lossSeen;
+    private Optional<ServingException> lastSentFailure = Optional.empty();
     private int attempts;
 
     StageRun(
@@ -299,6 +300,9 @@
 
     private Future<StageResult> retryOrFail(ServingException failure) {
         Optional<RetryReason> reason = RetryReason.of(failure.code());
+        if (reason.isPresent() && reason.get() != RetryReason.WITHDRAWN) {
+            lastSentFailure = Optional.of(failure);
+        }
         boolean conclusive = reason.isEmpty()
                 || !reason.get().mayRepeat(stage.idempotent())
                 || cancelled
@@ -306,7 +310,8 @@
                 || attempts >= LARGEST_ATTEMPTS
                 || tables.clock().nowMs() >= request.deadlineAtMs();
         if (conclusive) {
-            return Future.failedFuture(failure);
+            // A refusal of the repetition says less than the failure that made it necessary.
+            return Future.failedFuture(lastSentFailure.orElse(failure));
         }
         if (reason.get().mayHaveRun() && !tables.budget(stage.pool()).tryTakeRetry()) {
             return Future.failedFuture(
--- a/proof/src/test/java/org/pimentovale/proof/Fleet.java
+++ b/proof/src/test/java/org/pimentovale/proof/Fleet.java
@@ -14,7 +14,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +34,7 @@
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final Path directory;
     private final List<Entry> entries = new ArrayList<>();
+    private final Map<EndpointStandIn, String> deployments = new HashMap<>();
     private final StoreStandIn store = new StoreStandIn(0);
     private String seeds = "";
 
@@ -52,8 +55,19 @@
         deploy(store);
     }
 
-    private void deploy(Deployable standIn) {
-        vertx.deployVerticle(standIn).toCompletionStage().toCompletableFuture().join();
+    private String deploy(Deployable standIn) {
+        return vertx.deployVerticle(standIn)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .join();
+    }
+
+    /** Ends an endpoint for good. */
+    void closeEndpoint(EndpointStandIn endpoint) {
+        vertx.undeploy(deployments.get(endpoint))
+                .toCompletionStage()
+                .toCompletableFuture()
+                .join();
     }
 
     Path directory() {
@@ -70,7 +84,7 @@
 
     EndpointStandIn endpoint(EndpointModel model) {
         EndpointStandIn endpoint = new EndpointStandIn(0, model);
-        deploy(endpoint);
+        deployments.put(endpoint, deploy(endpoint));
         return endpoint;
     }
 
--- /dev/null
+++ b/proof/src/test/java/org/pimentovale/proof/GoldenSessionTest.java
@@ -0,0 +1,162 @@
+package org.pimentovale.proof;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pimentovale.standin.EndpointStandIn;
+
+/**
+ * Whole sessions against files that a person has read. Ports and identifiers are replaced by names; to write a file
+ * anew, run with {@code -Dgolden.write=DIRECTORY} and read the difference.
+ */
+class GoldenSessionTest {
+    private final Fleet fleet = new Fleet();
+    private final StringBuilder transcript = new StringBuilder();
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    private HttpResponse<String> exchange(String title, Fleet.Entry entry, HttpRequest.Builder builder) {
+        HttpRequest request = builder.build();
+        transcript.append("== ").append(title).append('\n');
+        transcript
+                .append("> ")
+                .append(request.method())
+                .append(' ')
+                .append(request.uri().getPath())
+                .append('\n');
+        for (String name : new String[] {"Accept", "Idempotency-Key", "Pimentovale-Workspace"}) {
+            request.headers().firstValue(name).ifPresent(value -> transcript
+                    .append("> ")
+                    .append(name)
+                    .append(": ")
+                    .append(value)
+                    .append('\n'));
+        }
+        HttpResponse<String> answer = fleet.send(request);
+        transcript.append("< ").append(answer.statusCode()).append('\n');
+        for (String name : new String[] {"Content-Type", "Retry-After"}) {
+            Optional<String> value = answer.headers().firstValue(name);
+            value.ifPresent(text -> transcript
+                    .append("< ")
+                    .append(name)
+                    .append(": ")
+                    .append(text)
+                    .append('\n'));
+        }
+        transcript.append(answer.body().strip()).append("\n\n");
+        return answer;
+    }
+
+    private void assertGolden(String name) {
+        String seen = transcript
+                .toString()
+                .replaceAll("[0-9a-f]{16}", "IDENTIFIER")
+                .replaceAll("(served_by\":|ref-)\\d+", "$1PORT")
+                .replaceAll("attempt \\S+ by [^\"]+", "attempt ATTEMPT by INSTANCE");
+        String directory = System.getProperty("golden.write");
+        try {
+            if (directory != null) {
+                Files.writeString(Path.of(directory, name), seen);
+                return;
+            }
+            try (InputStream file = GoldenSessionTest.class.getResourceAsStream("/golden/" + name)) {
+                String golden = new String(file.readAllBytes(), StandardCharsets.UTF_8);
+                assertWithMessage(name).that(seen).isEqualTo(golden);
+            }
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    @Nested
+    class OfAShow {
+        @Test
+        void critiqueReservationResendAndAvailability() {
+            EndpointStandIn service = fleet.endpoint(Fleet.service(5));
+            EndpointStandIn engine = fleet.endpoint(Fleet.engine(2, 3));
+            fleet.apply(Fleet.pool("services", "service", "", service, "it-north-a")
+                    + Fleet.pool("bench-guide", "chat", "", engine, "it-north-a")
+                    + Fleet.route(
+                            "critique",
+                            9_000,
+                            "patient",
+                            "encode",
+                            "services",
+                            "retrieve",
+                            "services",
+                            "rerank",
+                            "services",
+                            "generate",
+                            "bench-guide")
+                    + Fleet.route("booking", 5_000, "urgent", "!reserve", "services")
+                    + Fleet.route("availability", 2_000, "urgent", "check", "services"));
+            Fleet.Entry first = fleet.entry("entry-a", "it-north-a");
+            Fleet.Entry second = fleet.entry("entry-b", "it-north-b");
+
+            exchange(
+                    "a judge's critique, streamed",
+                    first,
+                    fleet.request(first, "critique", "{\"prompt\":\"juniper\"}")
+                            .header("Accept", "text/event-stream")
+                            .header("Pimentovale-Workspace", "judges"));
+            exchange("the same, whole", second, fleet.request(second, "critique", "{\"prompt\":\"juniper\"}"));
+            exchange(
+                    "a reservation",
+                    first,
+                    fleet.request(first, "booking", "{\"bench\":7}").header("Idempotency-Key", "bench-7"));
+            exchange(
+                    "sent again through the other instance",
+                    second,
+                    fleet.request(second, "booking", "{\"bench\":7}").header("Idempotency-Key", "bench-7"));
+            exchange("availability", second, fleet.request(second, "availability", "{}"));
+            assertGolden("show.txt");
+        }
+    }
+
+    @Nested
+    class OfANightWithFailures {
+        @Test
+        void lostBookingOutageAndRefusals() {
+            EndpointStandIn service = fleet.endpoint(Fleet.service(5));
+            fleet.apply(Fleet.pool("winches", "service", "", service, "qc-est-a")
+                    + Fleet.route("booking", 3_000, "urgent", "!book", "winches")
+                    + Fleet.route("stock", 2_000, "urgent", "look-up", "winches"));
+            Fleet.Entry entry = fleet.entry("entry-a", "qc-est-a");
+
+            fleet.command(service.actualPort(), "/faults", "{\"failures\":1}");
+            exchange(
+                    "the service fails while it books",
+                    entry,
+                    fleet.request(entry, "booking", "{\"winch\":1}").header("Idempotency-Key", "winch-1"));
+            exchange(
+                    "sent again",
+                    entry,
+                    fleet.request(entry, "booking", "{\"winch\":1}").header("Idempotency-Key", "winch-1"));
+            exchange("without a key", entry, fleet.request(entry, "booking", "{\"winch\":2}"));
+            fleet.storeFaults(new JsonObject().put("refuse", true));
+            exchange(
+                    "while the store is down",
+                    entry,
+                    fleet.request(entry, "booking", "{\"winch\":3}").header("Idempotency-Key", "winch-3"));
+            exchange("stock meanwhile", entry, fleet.request(entry, "stock", "{}"));
+            fleet.command(service.actualPort(), "/faults", "{\"failures\":20}");
+            exchange("a service that always fails", entry, fleet.request(entry, "stock", "{}"));
+            assertGolden("night.txt");
+        }
+    }
+}
