--- a/bench/src/main/java/org/pimentovale/bench/LoadDriver.java
+++ b/bench/src/main/java/org/pimentovale/bench/LoadDriver.java
@@ -12,8 +12,10 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +30,8 @@
 final class LoadDriver {
     private static final int LONGEST_LATENCY_MS = 120_000;
     private static final int CONNECTIONS = 2_000;
+    private static final int READINESS_PERIOD_MS = 500;
+    private static final int WINDOW_START_MS = 10_000;
 
     private final Vertx vertx;
     private final HttpClient client;
@@ -40,6 +44,7 @@
     private final List<Integer> sentBySecond = new ArrayList<>();
     private final List<Integer> attainedBySecond = new ArrayList<>();
     private final Promise<Void> finished = Promise.promise();
+    private final Set<String> notReady = new HashSet<>();
     private int sent;
     private int ended;
     private int attained;
@@ -60,10 +65,36 @@
             sentBySecond.add(0);
             attainedBySecond.add(0);
         }
+        checkReadiness();
+        vertx.setPeriodic(READINESS_PERIOD_MS, fired -> checkReadiness());
         scheduleNext(0);
         return finished.future();
     }
 
+    /** Sends only to entry instances that say they are ready, as the platform's balancer does. */
+    private void checkReadiness() {
+        for (String entry : options.entries()) {
+            String[] parts = entry.split(":");
+            client.request(HttpMethod.GET, Integer.parseInt(parts[1]), parts[0], "/ready")
+                    .compose(open -> open.send())
+                    .onSuccess(response -> {
+                        if (response.statusCode() == 200) {
+                            notReady.remove(entry);
+                        } else {
+                            notReady.add(entry);
+                        }
+                    });
+        }
+    }
+
+    private String nextEntry() {
+        List<String> ready = options.entries().stream()
+                .filter(entry -> !notReady.contains(entry))
+                .toList();
+        List<String> chosen = ready.isEmpty() ? options.entries() : ready;
+        return chosen.get(sent % chosen.size());
+    }
+
     /** Exponential times between arrivals. */
     private void scheduleNext(double atMs) {
         double nextMs = atMs - Math.log(1 - random.nextDouble()) * 1_000 / options.rate();
@@ -85,7 +116,7 @@
 
     private void send() {
         Workload.Kind kind = workload.nextKind(random);
-        String[] entry = options.entries().get(sent % options.entries().size()).split(":");
+        String[] entry = nextEntry().split(":");
         RequestOptions request = new RequestOptions()
                 .setMethod(HttpMethod.POST)
                 .setHost(entry[0])
@@ -128,7 +159,8 @@
         }
         if (whole && tookMs <= kind.deadlineMs()) {
             attained++;
-            attainedGenerating += kind.generates() ? 1 : 0;
+            boolean inWindow = elapsedMs() >= WINDOW_START_MS && elapsedMs() < options.seconds() * 1_000.0;
+            attainedGenerating += kind.generates() && inWindow ? 1 : 0;
             attainedBySecond.set(second, attainedBySecond.get(second) + 1);
         } else {
             failures.merge(whole ? "late" : outcome, 1, Integer::sum);
@@ -150,7 +182,7 @@
                         "p50", histogram.getValueAtPercentile(50),
                         "p95", histogram.getValueAtPercentile(95),
                         "p99", histogram.getValueAtPercentile(99)))));
-        double finishable = options.capacity() * generatingShare * options.seconds();
+        double finishable = options.capacity() * generatingShare * (options.seconds() - WINDOW_START_MS / 1_000.0);
         return new ReplayResult(
                 options.label(),
                 options.workload(),
--- a/bench/src/main/java/org/pimentovale/bench/ReplayResult.java
+++ b/bench/src/main/java/org/pimentovale/bench/ReplayResult.java
@@ -14,7 +14,8 @@
  * @param sent requests sent
  * @param attained requests answered whole within their deadlines
  * @param attainment their share
- * @param usefulShareOfCapacity attained requests through the engines, against what the engines can finish in the time
+ * @param usefulShareOfCapacity attained requests through the engines that ended between
+ *     the tenth second and the end of sending, against what the engines can finish in that time
  * @param latencyMs percentiles of the answered requests by kind, in milliseconds
  * @param failures the other requests by code
  * @param sentBySecond requests sent in each second
--- a/daemon/src/main/java/org/pimentovale/daemon/EntryInstance.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/EntryInstance.java
@@ -27,6 +27,7 @@
 import org.pimentovale.daemon.http.AccessKey;
 import org.pimentovale.daemon.http.Listeners;
 import org.pimentovale.daemon.log.Events;
+import org.pimentovale.daemon.log.RequestTrace;
 import org.pimentovale.daemon.metric.DaemonMetrics;
 import org.pimentovale.daemon.operator.OperatorListener;
 import org.pimentovale.daemon.peer.PeerExchange;
@@ -60,6 +61,7 @@
  */
 public final class EntryInstance {
     private static final Logger LOG = Logger.getLogger(EntryInstance.class);
+    private static final int TRACED_REQUESTS = 5_000;
     private static final int DRAIN_CHECK_MS = 20;
     private static final int ISOLATION_CHECK_MS = 250;
     private static final long ISOLATION_MS = 3_000;
@@ -71,6 +73,7 @@
     private final Clock wallClock;
     private final Random random;
     private final DaemonMetrics metrics = new DaemonMetrics();
+    private final RequestTrace trace = new RequestTrace(TRACED_REQUESTS);
     private final StoreHealth health;
     private final Platform platform;
     private final AccessKey peerKey;
@@ -82,6 +85,7 @@
     private ClaimLedger ledger;
     private PeerExchange exchange;
     private MemberRegistration registration;
+    private WarmupLeases leases;
 
     /**
      * Creates an instance that does not run yet.
@@ -151,14 +155,14 @@
         peerListener.connect(exchange);
         peerHandler.set(peerListener::handle);
         registration = new MemberRegistration(vertx, platform, health, tables);
-        operatorHandler.set(new OperatorListener(vertx, tables, state, operatorKey, metrics)::handle);
+        operatorHandler.set(new OperatorListener(vertx, tables, state, operatorKey, metrics, trace)::handle);
         Events.info(LOG, "operators_listening", "port", operatorPort);
         return startDuties();
     }
 
     private Future<Void> startDuties() {
         LoadProbe loadProbe = new PluginRegistry<>(LoadProbe.class).get("json");
-        WarmupLeases leases = new WarmupLeases(vertx, platform.objects(), health, tables);
+        leases = new WarmupLeases(vertx, platform.objects(), health, tables);
         ConfigurationWatch watch = new ConfigurationWatch(vertx, platform.objects(), health, tables, metrics, random);
         PipelineServices services = new PipelineServices(
                 vertx,
@@ -169,6 +173,7 @@
                         platform.objects(), health, tables.members().self().name()),
                 new PluginRegistry<>(StageProtocol.class),
                 metrics,
+                trace,
                 exchange,
                 leases,
                 random);
@@ -244,7 +249,10 @@
                 promise.tryComplete();
             }
         });
-        return promise.future().compose(done -> exchange.leave()).compose(done -> registration.leave());
+        return promise.future()
+                .compose(done -> leases.giveBack())
+                .compose(done -> exchange.leave())
+                .compose(done -> registration.leave());
     }
 
     /**
--- a/daemon/src/main/java/org/pimentovale/daemon/caller/PipelineServices.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/PipelineServices.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import java.util.random.RandomGenerator;
 import org.pimentovale.daemon.claim.ClaimLedger;
+import org.pimentovale.daemon.log.RequestTrace;
 import org.pimentovale.daemon.metric.DaemonMetrics;
 import org.pimentovale.daemon.protocol.StageProtocol;
 import org.pimentovale.daemon.settings.DaemonSettings;
@@ -20,6 +21,7 @@
  * @param guard permits suspected requests
  * @param protocols the ways to call endpoints
  * @param metrics counts
+ * @param trace keeps the latest events
  * @param news is told what other instances should learn
  * @param fencingTokens gives the numbers of warm-up leases
  * @param random the source of identifiers; thread safe
@@ -32,6 +34,7 @@
         SuspectGuard guard,
         PluginRegistry<StageProtocol> protocols,
         DaemonMetrics metrics,
+        RequestTrace trace,
         EndpointNews news,
         FencingTokens fencingTokens,
         RandomGenerator random) {}
--- a/daemon/src/main/java/org/pimentovale/daemon/caller/RequestRun.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/RequestRun.java
@@ -249,6 +249,7 @@
         System.arraycopy(common, 0, all, 0, common.length);
         System.arraycopy(pairs, 0, all, common.length, pairs.length);
         Events.info(LOG, event, all);
+        services.trace().add(request.identifier(), event, all);
     }
 
     @Override
--- a/daemon/src/main/java/org/pimentovale/daemon/caller/StageRun.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/StageRun.java
@@ -147,7 +147,7 @@
                 request.workspace(),
                 request.route().urgency(),
                 request.deadlineAtMs(),
-                tables.laterStagesMs(request.route(), position),
+                tables.laterStagesMs(request.route(), position, request.workspace()),
                 request.prefix(),
                 Set.copyOf(excluded),
                 suspect);
@@ -205,7 +205,9 @@
                 services.protocols().get(scheduler.pool().protocol()),
                 stageRequest(scheduler, dispatchedMs),
                 owner::delta,
-                grant.cold() ? services.fencingTokens().tokenOf(connection.address()) : Optional.empty());
+                grant.cold() && scheduler.pool().checksFencing()
+                        ? services.fencingTokens().tokenOf(connection.address())
+                        : Optional.empty());
         exchange = Optional.of(started);
         owner.dispatching(stage);
         return started.send().transform(result -> {
@@ -235,6 +237,7 @@
     private Future<StageResult> answered(PoolScheduler scheduler, Grant grant, StageResult result, long spentMs) {
         scheduler.release(grant, CallResult.answered(spentMs));
         services.metrics().attemptAnswered(stage.name(), spentMs);
+        note("attempt_answered", grant.endpoint().address(), "spent_ms", spentMs);
         tables.warmth()
                 .answered(grant.endpoint().address(), tables.clock().nowMs())
                 .ifPresent(services.news()::becameWarm);
@@ -264,26 +267,23 @@
                 connections.discardIdle(connection.address());
             }
         });
-        Events.info(
-                LOG,
-                "attempt_failed",
-                "request",
-                request.identifier(),
-                "stage",
-                stage.name(),
-                "attempt",
-                attempts,
-                "endpoint",
-                connection.address(),
-                "code",
-                failure.code().label(),
-                "spent_ms",
-                spentMs);
+        note("attempt_failed", connection.address(), "code", failure.code().label(), "spent_ms", spentMs);
         boolean connectionEnded = failure.code() == ErrorCode.CONNECTION_LOST;
         Future<Void> investigated = connectionEnded ? investigateLoss(connection) : Future.succeededFuture();
         return investigated.compose(done -> Future.failedFuture(failure));
     }
 
+    private void note(String event, String endpoint, Object... pairs) {
+        Object[] all = new Object[pairs.length + 8];
+        Object[] common = {
+            "request", request.identifier(), "stage", stage.name(), "attempt", attempts, "endpoint", endpoint
+        };
+        System.arraycopy(common, 0, all, 0, common.length);
+        System.arraycopy(pairs, 0, all, common.length, pairs.length);
+        services.trace().add(request.identifier(), event, all);
+        Events.info(LOG, event, all);
+    }
+
     /** Finds out whether the endpoint was lost or only the connection to it. */
     private Future<Void> investigateLoss(EndpointConnection connection) {
         return connections.probe(connection.address(), Preference.FRESH).transform(probed -> {
--- a/daemon/src/main/java/org/pimentovale/daemon/endpoint/StageExchange.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/endpoint/StageExchange.java
@@ -27,6 +27,7 @@
  */
 public final class StageExchange {
     private static final int TRAILING_BODY_MS = 500;
+    private static final int FENCED_STATUS = 412;
     private static final String ECHO_HEADER = "X-Request-Id";
 
     private final Vertx vertx;
@@ -123,7 +124,8 @@
             return;
         }
         int status = head.statusCode();
-        if (pool.refusalStatuses().contains(status)) {
+        boolean fenced = fencingToken.isPresent() && status == FENCED_STATUS;
+        if (fenced || pool.refusalStatuses().contains(status)) {
             endWithFailure(ServingException.notRun(ErrorCode.ENDPOINT_REFUSED, "status " + status));
             return;
         }
--- a/daemon/src/main/java/org/pimentovale/daemon/operator/OperatorListener.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/operator/OperatorListener.java
@@ -11,6 +11,7 @@
 import org.pimentovale.daemon.http.AccessKey;
 import org.pimentovale.daemon.http.BodyReader;
 import org.pimentovale.daemon.log.Events;
+import org.pimentovale.daemon.log.RequestTrace;
 import org.pimentovale.daemon.metric.DaemonMetrics;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
@@ -26,12 +27,14 @@
  */
 public final class OperatorListener {
     private static final Logger LOG = Logger.getLogger(OperatorListener.class);
+    private static final String TRACE_ROUTE = "GET /v1/requests/";
     private static final int LARGEST_BODY_BYTES = 1 << 20;
 
     private final ServingTables tables;
     private final InstanceState state;
     private final AccessKey key;
     private final DaemonMetrics metrics;
+    private final RequestTrace trace;
     private final BodyReader bodyReader;
 
     /**
@@ -55,13 +58,20 @@
      * @param state the instance's state
      * @param key the key that operators must send
      * @param metrics is rendered
+     * @param trace is searched
      */
     public OperatorListener(
-            Vertx vertx, ServingTables tables, InstanceState state, AccessKey key, DaemonMetrics metrics) {
+            Vertx vertx,
+            ServingTables tables,
+            InstanceState state,
+            AccessKey key,
+            DaemonMetrics metrics,
+            RequestTrace trace) {
         this.tables = tables;
         this.state = state;
         this.key = key;
         this.metrics = metrics;
+        this.trace = trace;
         this.bodyReader = new BodyReader(vertx, LARGEST_BODY_BYTES);
     }
 
@@ -76,6 +86,10 @@
             return;
         }
         String route = http.method() + " " + http.path();
+        if (route.startsWith(TRACE_ROUTE)) {
+            answer(http, trace.find(route.substring(TRACE_ROUTE.length())));
+            return;
+        }
         switch (route) {
             case "GET /metrics" ->
                 http.response()
--- a/daemon/src/main/java/org/pimentovale/daemon/warmup/WarmupLeases.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/warmup/WarmupLeases.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -42,6 +43,7 @@
     private final StoreHealth health;
     private final ServingTables tables;
     private final String self;
+    private volatile boolean leaving;
     private final Map<String, Progress> progress = new ConcurrentHashMap<>();
 
     /** What this instance does about one endpoint. Guarded by itself. */
@@ -106,6 +108,9 @@
     }
 
     private void check() {
+        if (leaving) {
+            return;
+        }
         List<WarmEndpoint> cold = tables.warmth().coldEndpoints();
         for (WarmEndpoint endpoint : cold) {
             Progress state = progress.computeIfAbsent(endpoint.address(), unused -> new Progress());
@@ -247,10 +252,13 @@
     }
 
     /** Writes that the lease is no longer held; where the write is lost, the lease ends by itself. */
-    private void publish(Progress state, WarmupLease.State end) {
+    private Future<WriteResult> publish(Progress state, WarmupLease.State end) {
         state.writing = true;
         WarmupLease ended = state.lease.with(end);
-        health.watch(store.update(KIND, name(state.endpoint), state.version, Json.write(ended)))
+        if (end == WarmupLease.State.FREE) {
+            tables.warmth().leaseEnded(state.endpoint.address());
+        }
+        return health.watch(store.update(KIND, name(state.endpoint), state.version, Json.write(ended)))
                 .onComplete(result -> {
                     synchronized (state) {
                         state.writing = false;
@@ -261,9 +269,26 @@
                         }
                     }
                 });
-        if (end == WarmupLease.State.FREE) {
-            tables.warmth().leaseEnded(state.endpoint.address());
-        }
+    }
+
+    /**
+     * Gives every held lease back, so that others need not wait for its end.
+     *
+     * @return completes once the store answered, never fails
+     */
+    public Future<Void> giveBack() {
+        leaving = true;
+        List<Future<?>> writes = new ArrayList<>();
+        progress.values().forEach(state -> {
+            synchronized (state) {
+                if (state.held && !state.writing) {
+                    writes.add(publish(state, WarmupLease.State.FREE));
+                }
+            }
+        });
+        return writes.isEmpty()
+                ? Future.succeededFuture()
+                : Future.join(writes).<Void>mapEmpty().otherwiseEmpty();
     }
 
     private static String name(WarmEndpoint endpoint) {
--- a/kernel/src/main/java/org/pimentovale/kernel/ServingTables.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/ServingTables.java
@@ -147,18 +147,21 @@
     }
 
     /**
-     * Returns the expected duration of the stages of a route after a given one.
+     * Returns the time that the stages of a route after a given one need at least, with the waits that are likely now.
      *
      * @param route the route
      * @param position the stage's place, from zero
+     * @param workspace the customer's workspace
      * @return milliseconds
      */
-    public long laterStagesMs(Route route, int position) {
-        double sum = 0;
+    public long laterStagesMs(Route route, int position, String workspace) {
+        long sum = 0;
         for (Stage stage : route.stages().subList(position + 1, route.stages().size())) {
-            sum += scheduler(stage.pool()).map(PoolScheduler::meanMs).orElse(0.0);
+            sum += scheduler(stage.pool())
+                    .map(scheduler -> scheduler.leastMs(workspace, route.urgency()))
+                    .orElse(0L);
         }
-        return (long) sum;
+        return sum;
     }
 
     /**
--- a/kernel/src/main/java/org/pimentovale/kernel/schedule/PoolScheduler.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/schedule/PoolScheduler.java
@@ -18,6 +18,7 @@
 import org.pimentovale.kernel.time.MonotonicClock;
 import org.pimentovale.table.Endpoint;
 import org.pimentovale.table.Pool;
+import org.pimentovale.table.Urgency;
 
 /**
  * Decides which work goes to which endpoint of one pool, what waits, and what is refused early.
@@ -30,7 +31,7 @@
     private static final int PREFIX_CAPACITY = 10_000;
     private static final int SMALLEST_SUBSET = 8;
     private static final double MEAN_WEIGHT = 0.1;
-    private static final double HOPELESS_SHARE = 0.6;
+    private static final double QUICK_SHARE = 0.2;
 
     private final RoutingPolicy policy;
     private final MonotonicClock clock;
@@ -43,6 +44,7 @@
     private Pool pool;
     private SchedulerSurroundings surroundings;
     private Set<String> subset = Set.of();
+    private final QuantileEstimate quickMs;
     private double meanMs;
     private int inFlight;
     private long turn;
@@ -73,6 +75,7 @@
         this.warmth = warmth;
         this.queueLimit = queueLimit;
         this.meanMs = pool.expectedMs();
+        this.quickMs = new QuantileEstimate(QUICK_SHARE, pool.expectedMs());
         apply(pool, surroundings);
     }
 
@@ -144,7 +147,7 @@
     }
 
     private boolean hopeless(StageWork work, long nowMs, long waitMs) {
-        return nowMs + waitMs + HOPELESS_SHARE * (meanMs + work.laterStagesMs()) > work.deadlineAtMs();
+        return nowMs + waitMs + quickMs.value() + work.laterStagesMs() > work.deadlineAtMs();
     }
 
     private void enqueue(Ticket ticket, long nowMs, List<Runnable> actions) {
@@ -283,6 +286,7 @@
             }
             if (result.answered()) {
                 meanMs += MEAN_WEIGHT * (result.serviceMs() - meanMs);
+                quickMs.add(result.serviceMs());
             }
             drain(nowMs, actions);
         }
@@ -352,12 +356,16 @@
     }
 
     /**
-     * Returns the expected duration of a call.
+     * Returns the time that a request would need here at least, from its submission to the answer of a quick call.
      *
-     * @return milliseconds
+     * @param workspace the customer's workspace
+     * @param urgency how soon the request has to be served
+     * @return milliseconds, with the wait that the queue makes likely now
      */
-    public synchronized double meanMs() {
-        return meanMs;
+    public synchronized long leastMs(String workspace, Urgency urgency) {
+        StageWork probe = new StageWork("", workspace, urgency, 0, 0, 0, Set.of(), false);
+        long waiting = queue.size() == 0 ? 0 : waitMs(queue.ahead(probe));
+        return waiting + (long) quickMs.value();
     }
 
     /**
--- a/kernel/src/main/java/org/pimentovale/kernel/schedule/WaitQueue.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/schedule/WaitQueue.java
@@ -51,19 +51,22 @@
         return true;
     }
 
-    /** Returns how many tickets are served before a new one of a workspace and class, under fair sharing. */
+    /** Returns how many tickets are served before a new one of a workspace and class, by weights and fair sharing. */
     int ahead(StageWork work) {
-        int ahead = 0;
-        for (Urgency urgency : Urgency.values()) {
-            if (urgency.compareTo(work.urgency()) < 0) {
-                ahead += count(urgency);
-            }
-        }
         Map<String, Deque<Ticket>> peers = classes.get(work.urgency());
         Deque<Ticket> own = peers.get(work.workspace());
         int ownLength = own == null ? 0 : own.size();
+        int same = 0;
         for (Deque<Ticket> tickets : peers.values()) {
-            ahead += Math.min(tickets.size(), ownLength + 1);
+            same += Math.min(tickets.size(), ownLength + 1);
+        }
+        int ahead = same;
+        for (Urgency other : Urgency.values()) {
+            if (other != work.urgency()) {
+                ahead += Math.min(
+                        count(other),
+                        (same + 1) * other.weight() / work.urgency().weight());
+            }
         }
         return ahead;
     }
--- a/proof/src/test/java/org/pimentovale/proof/AtMostOnceTest.java
+++ b/proof/src/test/java/org/pimentovale/proof/AtMostOnceTest.java
@@ -216,6 +216,28 @@
         }
     }
 
+    @Nested
+    class StoreUse {
+        private long writes() {
+            return fleet.storeCounts().getLong("write claims", 0L);
+        }
+
+        @Test
+        void aBookingCostsTwoWritesAndIdempotentWorkNone() {
+            Fleet.Entry first = fleet.entry("entry-a", "zone-a");
+            long before = writes();
+            for (int position = 0; position < 20; position++) {
+                assertThat(fleet.book(first, "counted-" + position).statusCode())
+                        .isEqualTo(200);
+            }
+            assertThat(writes() - before).isEqualTo(40);
+            for (int position = 0; position < 20; position++) {
+                fleet.ask(first, "check", "{}");
+            }
+            assertThat(writes() - before).isEqualTo(40);
+        }
+    }
+
     @Nested
     class WhenTheServiceFails {
         @Test
--- a/proof/src/test/java/org/pimentovale/proof/BadInputTest.java
+++ b/proof/src/test/java/org/pimentovale/proof/BadInputTest.java
@@ -6,7 +6,10 @@
 import io.vertx.core.json.JsonObject;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -109,6 +112,20 @@
             assertThat(fleet.runs(service)).hasSize(1);
         }
 
+        @Test
+        void aFailingServiceDoesNotMultiplyLoad() {
+            fleet.command(service.actualPort(), "/faults", "{\"failures\":100000}");
+            int requests = 400;
+            List<CompletableFuture<HttpResponse<String>>> sent = new ArrayList<>();
+            for (int position = 0; position < requests; position++) {
+                String body = "{\"position\":" + position + "}";
+                sent.add(fleet.sendLater(fleet.request(entry, "check", body).build()));
+            }
+            sent.forEach(CompletableFuture::join);
+            // One retry for ten first attempts, and a burst of ten.
+            assertThat(fleet.runs(service).size()).isAtMost(requests + requests / 10 + 10);
+        }
+
         @Test
         void aServiceThatIsGoneLeavesABookingNotRun() {
             fleet.book(entry, "opens-a-connection");
--- a/proof/src/test/java/org/pimentovale/proof/Fleet.java
+++ b/proof/src/test/java/org/pimentovale/proof/Fleet.java
@@ -124,10 +124,14 @@
     }
 
     Entry entry(String name, String zone) {
-        return entry(name, zone, "127.0.0.1:" + storePort());
+        return entry(name, zone, "plugin = \"http\"\naddress = \"127.0.0.1:" + storePort() + "\"");
     }
 
-    Entry entry(String name, String zone, String platformAddress) {
+    Entry embeddedEntry(String name, String zone, String tablesFile) {
+        return entry(name, zone, "plugin = \"embedded\"\ntables_file = \"" + tablesFile + "\"");
+    }
+
+    private Entry entry(String name, String zone, String platform) {
         String settings =
                 """
                 [instance]
@@ -144,13 +148,12 @@
                 key_file = "key"
                 %s
                 [platform]
-                plugin = "http"
-                address = "%s"
+                %s
                 call_timeout_ms = 500
                 [limits]
                 probes_per_second = 200
                 """
-                        .formatted(name, zone, seeds, platformAddress);
+                        .formatted(name, zone, seeds, platform);
         Path file = write(name + ".toml", settings);
         DaemonProcess process =
                 DaemonProcess.start(directory, "org.pimentovale.daemon.EntryDaemon", "--settings", file.toString());
@@ -246,6 +249,18 @@
         return new JsonObject(command(endpoint.actualPort(), "/stats", ""));
     }
 
+    boolean ready(Entry entry) {
+        return send(HttpRequest.newBuilder(URI.create(entry.callers() + "/ready"))
+                                .GET()
+                                .build())
+                        .statusCode()
+                == 200;
+    }
+
+    JsonObject storeCounts() {
+        return new JsonObject(command(storePort(), "/counts", ""));
+    }
+
     String operatorGet(Entry entry, String path) {
         return send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + entry.operatorPort() + path))
                         .header("Authorization", "Bearer " + KEY)
--- a/proof/src/test/java/org/pimentovale/proof/ZoneTest.java
+++ b/proof/src/test/java/org/pimentovale/proof/ZoneTest.java
@@ -108,6 +108,22 @@
         }
     }
 
+    @Nested
+    class WhenItsOwnZoneIsTakenOut {
+        @Test
+        void anEntryInstanceFirstStopsBeingReadyAndRefusesAfterTheBalancersLag() {
+            assertThat(fleet.ready(first)).isTrue();
+            assertThat(fleet.tool("zone", "out", "zone-c")).isEqualTo(0);
+            assertThat(fleet.eventually(OUT_MS, () -> !fleet.ready(first))).isTrue();
+            assertThat(fleet.ask(first, "chat", "{}").statusCode()).isEqualTo(200);
+            assertThat(fleet.eventually(
+                            OUT_MS, () -> fleet.ask(first, "chat", "{}").body().contains("instance-draining")))
+                    .isTrue();
+            assertThat(fleet.tool("zone", "return", "zone-c")).isEqualTo(0);
+            assertThat(fleet.eventually(OUT_MS, () -> fleet.ready(first))).isTrue();
+        }
+    }
+
     @Nested
     class WhenAnEndpointLeaves {
         @Test
--- a/standin/src/main/java/org/pimentovale/standin/EndpointStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/EndpointStandIn.java
@@ -43,6 +43,8 @@
     private int collapses;
     private int crashes;
     private int cancelled;
+    private int fenced;
+    private long highestToken;
     private long received;
     private double workSpentMs;
 
@@ -144,6 +146,8 @@
                 .put("collapses", collapses)
                 .put("crashes", crashes)
                 .put("cancelled", cancelled)
+                .put("fenced", fenced)
+                .put("highest_token", highestToken)
                 .put("starts", starts)
                 .put("work_ms", workSpentMs);
     }
@@ -174,6 +178,16 @@
             request.response().setStatusCode(faults.getInteger("status", 429)).end();
             return;
         }
+        String token = request.getHeader("Fencing-Token");
+        if (token != null && faults.getBoolean("checks_fencing", false)) {
+            long number = Long.parseLong(token);
+            if (number < highestToken) {
+                fenced++;
+                request.response().setStatusCode(412).end();
+                return;
+            }
+            highestToken = number;
+        }
         inFlight++;
         if (cold()) {
             largestColdInFlight = Math.max(largestColdInFlight, inFlight);
--- a/tool/src/main/java/org/pimentovale/tool/ToolSession.java
+++ b/tool/src/main/java/org/pimentovale/tool/ToolSession.java
@@ -22,6 +22,7 @@
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.json.Json;
+import org.pimentovale.platform.ObjectStore;
 import org.pimentovale.platform.Platform;
 import org.pimentovale.platform.PlatformPlugin;
 import org.pimentovale.platform.StoredObject;
@@ -38,6 +39,7 @@
  */
 public final class ToolSession {
     private static final int CALL_TIMEOUT_MS = 1_000;
+    private static final int REPEAT_MS = 200;
     private static final int LONGEST_WAIT_S = 120;
 
     private final Vertx vertx;
@@ -156,12 +158,19 @@
             return List.of();
         }
         List<String> addresses = new ArrayList<>();
-        for (StoredObject object : await(platform().objects().list("entries"))) {
+        for (StoredObject object : await(listInstances(platform().objects(), options.repeats()))) {
             addresses.add(Json.readTree(object.value()).path("operator_address").asText());
         }
         return addresses;
     }
 
+    private Future<List<StoredObject>> listInstances(ObjectStore store, int left) {
+        return store.list("entries")
+                .recover(failure -> left > 0
+                        ? vertx.timer(REPEAT_MS).compose(fired -> listInstances(store, left - 1))
+                        : Future.failedFuture(failure));
+    }
+
     JsonNode call(HttpMethod method, String address, String path, Buffer body) {
         int colon = address.lastIndexOf(':');
         RequestOptions request = new RequestOptions()
