--- a/bench/src/main/java/org/pimentovale/bench/FleetSlopeCommand.java
+++ b/bench/src/main/java/org/pimentovale/bench/FleetSlopeCommand.java
@@ -49,7 +49,7 @@
     public void run(BenchOptions options) {
         List<Map<String, Object>> rows = new ArrayList<>();
         for (int size : options.sizes()) {
-            Map<String, Object> row = measure(size, options);
+            Map<String, Object> row = measure(size);
             System.out.println(new JsonObject(row).encode());
             rows.add(row);
         }
@@ -60,7 +60,7 @@
         }
     }
 
-    private static Map<String, Object> measure(int size, BenchOptions options) {
+    private static Map<String, Object> measure(int size) {
         Vertx vertx = Vertx.vertx();
         StoreStandIn store = new StoreStandIn(0);
         vertx.deployVerticle(store).toCompletionStage().toCompletableFuture().join();
@@ -193,7 +193,7 @@
             return Files.readAllLines(Path.of("/proc/net/dev")).stream()
                     .map(String::strip)
                     .filter(line -> line.startsWith("lo:"))
-                    .mapToLong(line -> Long.parseLong(line.substring(3).strip().split("\\s+")[0]))
+                    .mapToLong(line -> Long.parseLong(line.substring(3).strip().replaceAll("\\s.*", "")))
                     .sum();
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
--- a/bench/src/main/java/org/pimentovale/bench/LoadDriver.java
+++ b/bench/src/main/java/org/pimentovale/bench/LoadDriver.java
@@ -74,8 +74,8 @@
     /** Sends only to entry instances that say they are ready, as the platform's balancer does. */
     private void checkReadiness() {
         for (String entry : options.entries()) {
-            String[] parts = entry.split(":");
-            client.request(HttpMethod.GET, Integer.parseInt(parts[1]), parts[0], "/ready")
+            Address target = Address.of(entry);
+            client.request(HttpMethod.GET, target.port(), target.host(), "/ready")
                     .compose(open -> open.send())
                     .onSuccess(response -> {
                         if (response.statusCode() == 200) {
@@ -116,11 +116,11 @@
 
     private void send() {
         Workload.Kind kind = workload.nextKind(random);
-        String[] entry = nextEntry().split(":");
+        Address entry = Address.of(nextEntry());
         RequestOptions request = new RequestOptions()
                 .setMethod(HttpMethod.POST)
-                .setHost(entry[0])
-                .setPort(Integer.parseInt(entry[1]))
+                .setHost(entry.host())
+                .setPort(entry.port())
                 .setURI("/v1/requests/" + kind.name())
                 .putHeader("Pimentovale-Workspace", Workload.nextWorkspace(random));
         if (kind.keyed()) {
@@ -205,8 +205,8 @@
         Map<String, Double> sums = new TreeMap<>();
         Future<Void> all = Future.succeededFuture();
         for (String address : options.endpoints()) {
-            String[] parts = address.split(":");
-            all = all.compose(done -> client.request(HttpMethod.GET, Integer.parseInt(parts[1]), parts[0], "/stats")
+            Address target = Address.of(address);
+            all = all.compose(done -> client.request(HttpMethod.GET, target.port(), target.host(), "/stats")
                     .compose(open -> open.send())
                     .compose(response -> response.body())
                     .onSuccess(body -> Json.readTree(body.getBytes())
--- a/bench/src/main/java/org/pimentovale/bench/OverheadCommand.java
+++ b/bench/src/main/java/org/pimentovale/bench/OverheadCommand.java
@@ -47,14 +47,14 @@
     public void run(BenchOptions options) {
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
         HttpClient client = vertx.createHttpClient(new PoolOptions().setHttp1MaxSize(2 * OPEN_STREAMS));
-        String[] direct = options.direct().split(":");
-        String[] entry = options.entries().get(0).split(":");
+        Address direct = Address.of(options.direct());
+        Address entry = Address.of(options.entries().get(0));
         Way directWay = new Way(
-                direct[0],
-                Integer.parseInt(direct[1]),
+                direct.host(),
+                direct.port(),
                 "/v1/stages/check",
                 "{\"request_id\":\"r\",\"stage\":\"check\",\"input\":{},\"results\":{}}");
-        Way entryWay = new Way(entry[0], Integer.parseInt(entry[1]), "/v1/requests/check", "{}");
+        Way entryWay = new Way(entry.host(), entry.port(), "/v1/requests/check", "{}");
         Map<String, Object> figures = new LinkedHashMap<>();
         figures.put("resident_at_rest_mb", residentMegabytes(options.process()));
         sequence(client, directWay, WARM_UP_CALLS);
@@ -150,7 +150,7 @@
         try {
             String[] fields = Files.readString(Path.of("/proc/" + process + "/stat"))
                     .replaceAll(".*\\) ", "")
-                    .split(" ");
+                    .split(" ", -1);
             return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / TICKS_PER_S;
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
--- a/bench/src/main/java/org/pimentovale/bench/Workload.java
+++ b/bench/src/main/java/org/pimentovale/bench/Workload.java
@@ -23,6 +23,7 @@
     private static final double[] WORKSPACE_SHARES = {0.5, 0.25, 0.15, 0.06, 0.04};
     private static final int DISTINCT_PREFIXES = 40;
 
+    @SuppressWarnings("ImmutableEnumChecker") // The list is immutable, though its type does not say so.
     private final List<Kind> kinds;
 
     /**
--- a/daemon/src/main/java/org/pimentovale/daemon/MemberRegistration.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/MemberRegistration.java
@@ -26,16 +26,19 @@
     private static final Logger LOG = Logger.getLogger(MemberRegistration.class);
     private static final String KIND = "entries";
     private static final int REPEAT_MS = 500;
-    private static final int LIST_PERIOD_MS = 1_000;
-    private static final int LISTS_PER_PERIOD = 8;
-    private static final int LISTS_BEFORE_REMOVAL = 5;
+    private static final int REFRESH_PERIOD_MS = 1_000;
+    private static final int REFRESHES_PER_PERIOD = 8;
+    private static final int REFRESHES_PER_LIST = 5;
+    private static final int LISTS_BEFORE_REMOVAL = 2;
 
     private final Vertx vertx;
     private final Platform platform;
     private final StoreHealth health;
     private final ServingTables tables;
     private volatile boolean left;
+    private volatile Set<String> leaving = Set.of();
     private int lists;
+    private int refreshes;
 
     MemberRegistration(Vertx vertx, Platform platform, StoreHealth health, ServingTables tables) {
         this.vertx = vertx;
@@ -59,13 +62,20 @@
     }
 
     private void refresh() {
-        health.watch(platform.objects().list(KIND))
-                .onSuccess(this::takeOver)
-                .compose(listed -> platform.instances())
+        boolean listDue = refreshes % REFRESHES_PER_LIST == 0;
+        refreshes++;
+        Future<Void> listed = listDue
+                ? health.watch(platform.objects().list(KIND))
+                        .onSuccess(this::takeOver)
+                        .mapEmpty()
+                : Future.succeededFuture();
+        listed.transform(done -> platform.instances())
                 .onSuccess(this::takeLeaving)
                 .onComplete(result -> {
+                    // Members come and go also while the platform does not answer.
+                    tables.setSurroundings(leaving);
                     int instances = tables.members().live().size();
-                    int periodMs = LIST_PERIOD_MS * Math.max(1, instances / LISTS_PER_PERIOD);
+                    int periodMs = REFRESH_PERIOD_MS * Math.max(1, instances / REFRESHES_PER_PERIOD);
                     vertx.setTimer(periodMs, fired -> refresh());
                 });
     }
@@ -98,13 +108,13 @@
     }
 
     private void takeLeaving(List<PlatformInstance> instances) {
-        Set<String> leaving = new HashSet<>();
+        Set<String> listed = new HashSet<>();
         for (PlatformInstance instance : instances) {
             if (instance.leaving()) {
-                leaving.add(instance.address());
+                listed.add(instance.address());
             }
         }
-        tables.setLeaving(leaving);
+        leaving = Set.copyOf(listed);
     }
 
     /** Removes the registration, as far as the store answers. */
--- a/daemon/src/main/java/org/pimentovale/daemon/caller/AnswerWriter.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/AnswerWriter.java
@@ -58,9 +58,10 @@
 
     /** Calls back once the caller has caught up; a caller that never does counts as gone. */
     void whenDrained(Runnable resume) {
+        cancelStallTimer();
         stallTimer = vertx.setTimer(stallMs, fired -> callerStalled.run());
         response.drainHandler(drained -> {
-            vertx.cancelTimer(stallTimer);
+            cancelStallTimer();
             resume.run();
         });
     }
@@ -104,14 +105,19 @@
     /** Ends the answer of a caller that has left. */
     void abandon() {
         ended = true;
-        if (stallTimer >= 0) {
-            vertx.cancelTimer(stallTimer);
-        }
+        cancelStallTimer();
         if (!response.closed() && !response.ended()) {
             response.reset();
         }
     }
 
+    private void cancelStallTimer() {
+        if (stallTimer >= 0) {
+            vertx.cancelTimer(stallTimer);
+            stallTimer = -1;
+        }
+    }
+
     static void writeProblem(
             HttpServerResponse response, ServingException failure, String requestIdentifier, long retryAfterMs) {
         if (response.closed() || response.ended()) {
--- a/daemon/src/main/java/org/pimentovale/daemon/caller/CallerListener.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/CallerListener.java
@@ -68,14 +68,14 @@
 
     private void handle(HttpServerRequest http) {
         String path = http.path();
-        if (http.method() == HttpMethod.GET && path.equals("/live")) {
+        if (http.method().equals(HttpMethod.GET) && path.equals("/live")) {
             http.response().end("live\n");
-        } else if (http.method() == HttpMethod.GET && path.equals("/ready")) {
+        } else if (http.method().equals(HttpMethod.GET) && path.equals("/ready")) {
             Optional<ErrorCode> objection = state.readinessObjection();
             http.response()
                     .setStatusCode(objection.isEmpty() ? 200 : 503)
                     .end(objection.map(ErrorCode::label).orElse("ready") + "\n");
-        } else if (http.method() == HttpMethod.POST && path.startsWith(REQUESTS_PATH)) {
+        } else if (http.method().equals(HttpMethod.POST) && path.startsWith(REQUESTS_PATH)) {
             serve(http, path.substring(REQUESTS_PATH.length()));
         } else {
             refuse(http, ServingException.notRun(ErrorCode.KIND_UNKNOWN, http.method() + " " + path), "none");
--- a/daemon/src/main/java/org/pimentovale/daemon/caller/RequestRun.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/RequestRun.java
@@ -106,7 +106,7 @@
                         finish();
                     }
                 })
-                .onFailure(failure -> fail((ServingException) failure));
+                .onFailure(failure -> fail(ServingException.of(failure)));
     }
 
     /** Runs the stage that must not run twice, under a claim of its idempotency key. */
@@ -117,7 +117,7 @@
                 request.identifier() + "-" + Long.toHexString(services.random().nextLong());
         return services.ledger()
                 .acquire(name, attempt, request.fingerprint(), request.deadlineAtMs())
-                .onFailure(failure -> noteClaimFailure((ServingException) failure))
+                .onFailure(failure -> noteClaimFailure(ServingException.of(failure)))
                 .compose(held -> {
                     if (held.claim().state() == ClaimState.DONE) {
                         nonRepeatable = Dispatched.ANSWERED;
--- a/daemon/src/main/java/org/pimentovale/daemon/caller/StageRun.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/StageRun.java
@@ -50,6 +50,7 @@
     private final StageRunOwner owner;
     private final Set<String> excluded = new HashSet<>();
     private Optional<Ticket> ticket = Optional.empty();
+    private Optional<Promise<Grant>> awaited = Optional.empty();
     private Optional<StageExchange> exchange = Optional.empty();
     private boolean cancelled;
     private boolean lossSeen;
@@ -78,13 +79,20 @@
     /** Runs the stage; the future fails with a {@link ServingException}. */
     Future<StageResult> run() {
         tables.budget(stage.pool()).recordFirstAttempt();
-        return attempt(Preference.ANY);
+        return attempt(usualPreference());
+    }
+
+    /** A call that must not run twice is not risked on a connection that may have gone silent. */
+    private Preference usualPreference() {
+        return stage.idempotent() ? Preference.ANY : Preference.PROVEN_ALIVE;
     }
 
     /** Ends the stage: waiting work is taken back, and a running call is closed. */
     void cancel() {
         cancelled = true;
         ticket.ifPresent(waiting -> scheduler().ifPresent(scheduler -> scheduler.cancel(waiting)));
+        awaited.ifPresent(promise ->
+                promise.tryFail(ServingException.notRun(ErrorCode.CALLER_LEFT, "while waiting for an endpoint")));
         exchange.ifPresent(StageExchange::cancel);
     }
 
@@ -107,13 +115,7 @@
         return admitSuspect()
                 .compose(suspect -> awaitGrant(suspect))
                 .compose(grant -> dispatch(grant, preference))
-                .recover(failure -> retryOrFail(asServingException(failure)));
-    }
-
-    private static ServingException asServingException(Throwable failure) {
-        return failure instanceof ServingException known
-                ? known
-                : ServingException.unknown(ErrorCode.INTERNAL, String.valueOf(failure));
+                .recover(failure -> retryOrFail(ServingException.of(failure)));
     }
 
     /** Fails where the request must not run again; otherwise tells whether it has to run alone. */
@@ -142,6 +144,7 @@
             return Future.failedFuture(ServingException.notRun(ErrorCode.CALLER_LEFT, "before the dispatch"));
         }
         Promise<Grant> promise = Promise.promise();
+        awaited = Optional.of(promise);
         StageWork work = new StageWork(
                 request.identifier(),
                 request.workspace(),
@@ -155,14 +158,18 @@
         ticket = Optional.of(source.submit(work, new GrantListener() {
             @Override
             public void granted(Grant grant) {
-                context.runOnContext(run -> promise.complete(grant));
+                context.runOnContext(run -> {
+                    if (!promise.tryComplete(grant)) {
+                        source.release(grant, CallResult.abandoned());
+                    }
+                });
             }
 
             @Override
             public void refused(ErrorCode code, long retryAfterMs) {
                 context.runOnContext(run -> {
                     owner.retryAfter(retryAfterMs);
-                    promise.fail(ServingException.notRun(code, "pool " + stage.pool()));
+                    promise.tryFail(ServingException.notRun(code, "pool " + stage.pool()));
                 });
             }
         }));
@@ -215,7 +222,7 @@
             long spentMs = tables.clock().nowMs() - dispatchedMs;
             return result.succeeded()
                     ? answered(scheduler, grant, result.result(), spentMs)
-                    : failed(scheduler, grant, connection, asServingException(result.cause()), spentMs);
+                    : failed(scheduler, grant, connection, ServingException.of(result.cause()), spentMs);
         });
     }
 
@@ -318,6 +325,6 @@
                     ServingException.unknown(ErrorCode.RETRY_BUDGET_EXHAUSTED, "after " + failure.getMessage()));
         }
         services.metrics().retried(stage.pool(), reason.get());
-        return attempt(reason.get().needsFreshConnection() ? Preference.FRESH : Preference.ANY);
+        return attempt(reason.get().needsFreshConnection() ? Preference.FRESH : usualPreference());
     }
 }
--- a/daemon/src/main/java/org/pimentovale/daemon/metric/DaemonMetrics.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/metric/DaemonMetrics.java
@@ -75,7 +75,7 @@
         GaugeWithCallback.builder()
                 .name("pimentovale_configuration_revision")
                 .help("Revision of the configuration in force.")
-                .callback(callback -> callback.call(revision.getAsLong()))
+                .callback(callback -> callback.call((double) revision.getAsLong()))
                 .register(registry);
     }
 
--- a/daemon/src/main/java/org/pimentovale/daemon/operator/OperatorListener.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/operator/OperatorListener.java
@@ -122,7 +122,7 @@
 
     /** The operators' tool passes on what the store has accepted, so that an outage right after it does no harm. */
     private void takeConfiguration(HttpServerRequest http) {
-        if (http.method() != HttpMethod.POST) {
+        if (!http.method().equals(HttpMethod.POST)) {
             return;
         }
         bodyReader
--- a/daemon/src/main/java/org/pimentovale/daemon/peer/PeerExchange.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/peer/PeerExchange.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.jboss.logging.Logger;
 import org.pimentovale.daemon.caller.EndpointNews;
 import org.pimentovale.daemon.http.AccessKey;
@@ -35,7 +36,7 @@
     private static final int SMALL_FLEET = 9;
     private static final int FAN_OUT = 8;
     private static final int WATCHED_SUCCESSORS = 3;
-    private static final int SMALL_HEARTBEAT_MS = 500;
+    private static final int SMALL_HEARTBEAT_MS = 1_000;
     private static final int LARGE_HEARTBEAT_MS = 2_000;
     private static final int FAILURES_OF_A_DEAD_MEMBER = 3;
 
@@ -46,6 +47,7 @@
     private final DaemonMetrics metrics;
     private final Random random;
     private final List<String> seeds;
+    private final AtomicBoolean fetching = new AtomicBoolean();
     private final NewsQueue queue = new NewsQueue();
     private final Map<String, Integer> failures = new ConcurrentHashMap<>();
 
@@ -168,10 +170,11 @@
      * @param revision the revision in force there
      */
     private void catchUp(String address, long revision) {
-        if (revision <= tables.configuration().revision()) {
+        if (revision <= tables.configuration().revision() || !fetching.compareAndSet(false, true)) {
             return;
         }
         client.configuration(address)
+                .onComplete(result -> fetching.set(false))
                 .onSuccess(this::offer)
                 .onFailure(failure -> Events.warn(
                         LOG, "peer_configuration_failed", "address", address, "failure", failure.getMessage()));
--- a/kernel/src/main/java/org/pimentovale/kernel/ServingTables.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/ServingTables.java
@@ -112,7 +112,7 @@
      *
      * @param leaving endpoints that the platform is about to take away
      */
-    public synchronized void setLeaving(Set<String> leaving) {
+    public synchronized void setSurroundings(Set<String> leaving) {
         int live = members.live().size();
         if (leaving.equals(leavingAddresses) && live == instances) {
             return;
--- a/kernel/src/main/java/org/pimentovale/kernel/schedule/PoolScheduler.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/schedule/PoolScheduler.java
@@ -285,8 +285,9 @@
                 state.released(grant, result, nowMs);
             }
             if (result.answered()) {
-                meanMs += MEAN_WEIGHT * (result.serviceMs() - meanMs);
-                quickMs.add(result.serviceMs());
+                double serviceMs = result.serviceMs();
+                meanMs += MEAN_WEIGHT * (serviceMs - meanMs);
+                quickMs.add(serviceMs);
             }
             drain(nowMs, actions);
         }
--- a/kernel/src/main/java/org/pimentovale/kernel/schedule/WaitQueue.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/schedule/WaitQueue.java
@@ -73,9 +73,9 @@
 
     /** Returns the newest ticket of the workspace that has most tickets waiting in the least urgent busy class. */
     Optional<Ticket> mostCrowding() {
-        for (int position = Urgency.values().length - 1; position >= 0; position--) {
+        for (Urgency urgency : Urgency.leastUrgentFirst()) {
             Deque<Ticket> longest = null;
-            for (Deque<Ticket> tickets : classes.get(Urgency.values()[position]).values()) {
+            for (Deque<Ticket> tickets : classes.get(urgency).values()) {
                 if (longest == null || tickets.size() > longest.size()) {
                     longest = tickets;
                 }
@@ -148,7 +148,7 @@
         return classes.get(urgency).values().stream().mapToInt(Deque::size).sum();
     }
 
-    private LinkedHashMap<String, Deque<Ticket>> workspaces(Ticket ticket) {
+    private Map<String, Deque<Ticket>> workspaces(Ticket ticket) {
         return classes.get(ticket.work().urgency());
     }
 
--- a/kernel/src/test/java/org/pimentovale/kernel/schedule/PoolSchedulerTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/schedule/PoolSchedulerTest.java
@@ -298,7 +298,7 @@
         int ended = 0;
         for (int action : actions) {
             if (action < 5) {
-                bench.submit("workspace-" + action, Urgency.values()[action % 3], 200 + 400L * action);
+                bench.submit("workspace-" + action, Urgency.leastUrgentFirst().get(action % 3), 200 + 400L * action);
                 submitted++;
             } else if (action < 8 && !bench.grants.isEmpty()) {
                 bench.endOldest();
--- a/model/src/main/java/org/pimentovale/error/ServingException.java
+++ b/model/src/main/java/org/pimentovale/error/ServingException.java
@@ -44,6 +44,16 @@
         return new ServingException(code, Outcome.UNKNOWN, detail);
     }
 
+    /**
+     * Returns a failure of any kind as one with a code.
+     *
+     * @param failure the failure
+     * @return the same failure where it has a code, otherwise one with {@link ErrorCode#INTERNAL}
+     */
+    public static ServingException of(Throwable failure) {
+        return failure instanceof ServingException known ? known : unknown(ErrorCode.INTERNAL, String.valueOf(failure));
+    }
+
     /**
      * Returns this failure with another outcome.
      *
--- a/model/src/main/java/org/pimentovale/table/Urgency.java
+++ b/model/src/main/java/org/pimentovale/table/Urgency.java
@@ -1,5 +1,7 @@
 package org.pimentovale.table;
 
+import java.util.List;
+
 /** How soon a kind of request has to be served, the most urgent first. Immutable and thread safe. */
 public enum Urgency {
     /** Bookings and availability checks. */
@@ -15,6 +17,15 @@
         this.weight = weight;
     }
 
+    /**
+     * Returns the classes in the order in which work is given up.
+     *
+     * @return the least urgent class first
+     */
+    public static List<Urgency> leastUrgentFirst() {
+        return List.of(PATIENT, INTERACTIVE, URGENT);
+    }
+
     /**
      * Returns the share of grants that the class gets while all classes wait.
      *
--- a/model/src/main/java/org/pimentovale/toml/TomlSection.java
+++ b/model/src/main/java/org/pimentovale/toml/TomlSection.java
@@ -74,10 +74,12 @@
     public TomlSection section(String key) {
         known.add(key);
         Object value = table.get(List.of(key));
-        if (value != null && !(value instanceof TomlTable)) {
+        TomlTable found = Toml.parse("");
+        if (value instanceof TomlTable given) {
+            found = given;
+        } else if (value != null) {
             report(key, value, "a table");
         }
-        TomlTable found = value instanceof TomlTable ? (TomlTable) value : Toml.parse("");
         return new TomlSection(file, prefix + key + ".", found, lineOf(key), problems);
     }
 
--- a/proof/src/test/java/org/pimentovale/proof/ColdEndpointTest.java
+++ b/proof/src/test/java/org/pimentovale/proof/ColdEndpointTest.java
@@ -123,7 +123,7 @@
             fleet.command(engine.actualPort(), "/faults", "{\"slow_factor\":40}");
             List<CompletableFuture<HttpResponse<String>>> requests = load(8);
             Fleet.Entry holder = holder();
-            Fleet.Entry other = entries.get(0) == holder ? entries.get(1) : entries.get(0);
+            Fleet.Entry other = entries.get(0).equals(holder) ? entries.get(1) : entries.get(0);
             holder.process().freeze();
             other.process().awaitLine("event=warmup_lease_taken");
             holder.process().thaw();
--- a/proof/src/test/java/org/pimentovale/proof/ConfigurationTest.java
+++ b/proof/src/test/java/org/pimentovale/proof/ConfigurationTest.java
@@ -206,7 +206,7 @@
             int peerPort = Integer.parseInt(new JsonObject(fleet.operatorGet(first, "/v1/instance"))
                     .getJsonObject("self")
                     .getString("peer_address")
-                    .split(":")[1]);
+                    .replaceAll(".*:", ""));
             fleet.command(peerPort, "/v1/peer/news", "{\"revision\":50}");
             assertThat(revision(first)).isEqualTo(1);
             first.process().awaitLine("event=peer_message_rejected");
--- a/proof/src/test/java/org/pimentovale/proof/Fleet.java
+++ b/proof/src/test/java/org/pimentovale/proof/Fleet.java
@@ -6,6 +6,8 @@
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -257,6 +259,14 @@
                 == 200;
     }
 
+    int running(Entry entry) {
+        return new JsonObject(operatorGet(entry, "/v1/instance")).getInteger("running");
+    }
+
+    Socket connect(Entry entry) throws IOException {
+        return new Socket(InetAddress.getLoopbackAddress(), entry.callerPort());
+    }
+
     JsonObject storeCounts() {
         return new JsonObject(command(storePort(), "/counts", ""));
     }
--- a/proof/src/test/java/org/pimentovale/proof/GoldenSessionTest.java
+++ b/proof/src/test/java/org/pimentovale/proof/GoldenSessionTest.java
@@ -30,7 +30,7 @@
         fleet.close();
     }
 
-    private HttpResponse<String> exchange(String title, Fleet.Entry entry, HttpRequest.Builder builder) {
+    private HttpResponse<String> exchange(String title, HttpRequest.Builder builder) {
         HttpRequest request = builder.build();
         transcript.append("== ").append(title).append('\n');
         transcript
@@ -110,20 +110,17 @@
 
             exchange(
                     "a judge's critique, streamed",
-                    first,
                     fleet.request(first, "critique", "{\"prompt\":\"juniper\"}")
                             .header("Accept", "text/event-stream")
                             .header("Pimentovale-Workspace", "judges"));
-            exchange("the same, whole", second, fleet.request(second, "critique", "{\"prompt\":\"juniper\"}"));
+            exchange("the same, whole", fleet.request(second, "critique", "{\"prompt\":\"juniper\"}"));
             exchange(
                     "a reservation",
-                    first,
                     fleet.request(first, "booking", "{\"bench\":7}").header("Idempotency-Key", "bench-7"));
             exchange(
                     "sent again through the other instance",
-                    second,
                     fleet.request(second, "booking", "{\"bench\":7}").header("Idempotency-Key", "bench-7"));
-            exchange("availability", second, fleet.request(second, "availability", "{}"));
+            exchange("availability", fleet.request(second, "availability", "{}"));
             assertGolden("show.txt");
         }
     }
@@ -141,21 +138,18 @@
             fleet.command(service.actualPort(), "/faults", "{\"failures\":1}");
             exchange(
                     "the service fails while it books",
-                    entry,
                     fleet.request(entry, "booking", "{\"winch\":1}").header("Idempotency-Key", "winch-1"));
             exchange(
                     "sent again",
-                    entry,
                     fleet.request(entry, "booking", "{\"winch\":1}").header("Idempotency-Key", "winch-1"));
-            exchange("without a key", entry, fleet.request(entry, "booking", "{\"winch\":2}"));
+            exchange("without a key", fleet.request(entry, "booking", "{\"winch\":2}"));
             fleet.storeFaults(new JsonObject().put("refuse", true));
             exchange(
                     "while the store is down",
-                    entry,
                     fleet.request(entry, "booking", "{\"winch\":3}").header("Idempotency-Key", "winch-3"));
-            exchange("stock meanwhile", entry, fleet.request(entry, "stock", "{}"));
+            exchange("stock meanwhile", fleet.request(entry, "stock", "{}"));
             fleet.command(service.actualPort(), "/faults", "{\"failures\":20}");
-            exchange("a service that always fails", entry, fleet.request(entry, "stock", "{}"));
+            exchange("a service that always fails", fleet.request(entry, "stock", "{}"));
             assertGolden("night.txt");
         }
     }
--- a/proof/src/test/java/org/pimentovale/proof/WholeAnswerTest.java
+++ b/proof/src/test/java/org/pimentovale/proof/WholeAnswerTest.java
@@ -135,7 +135,7 @@
         @Test
         void theEngineIsCancelledWithinATenthOfASecond() throws IOException {
             faults(engine, "{\"slow_factor\":1}");
-            try (Socket caller = new Socket("127.0.0.1", entry.callerPort())) {
+            try (Socket caller = fleet.connect(entry)) {
                 OutputStream output = caller.getOutputStream();
                 String body = "{\"prompt\":\"tree\"}";
                 output.write(("POST /v1/requests/chat HTTP/1.1\r\nHost: entry\r\nAccept: text/event-stream\r\n"
@@ -153,6 +153,33 @@
         }
     }
 
+    @Nested
+    class WhenCallersLeaveWhileTheyWait {
+        @Test
+        void nothingIsSentForThemAndTheInstanceForgetsThem() throws IOException {
+            EndpointStandIn narrow = fleet.endpoint(new EndpointModel(1, 1, 0, 700, 1, 1, 0));
+            fleet.apply(Fleet.pool("narrow", "service", "", narrow, "zone-a").replace("limit = 32", "limit = 1")
+                    + Fleet.route("narrow", 8_000, "interactive", "work", "narrow"));
+            assertThat(fleet.eventually(
+                            3_000, () -> fleet.ask(entry, "narrow", "{}").statusCode() == 200))
+                    .isTrue();
+            List<Socket> callers = new ArrayList<>();
+            for (int position = 0; position < 4; position++) {
+                Socket caller = fleet.connect(entry);
+                caller.getOutputStream()
+                        .write("POST /v1/requests/narrow HTTP/1.1\r\nHost: entry\r\nContent-Length: 2\r\n\r\n{}"
+                                .getBytes(StandardCharsets.UTF_8));
+                callers.add(caller);
+            }
+            assertThat(fleet.eventually(3_000, () -> fleet.running(entry) == 4)).isTrue();
+            for (Socket caller : callers) {
+                caller.close();
+            }
+            assertThat(fleet.eventually(3_000, () -> fleet.running(entry) == 0)).isTrue();
+            assertThat(fleet.stats(narrow).getLong("received")).isAtMost(2L);
+        }
+    }
+
     @Nested
     class WhenACallerReadsSlowly {
         @Test
--- a/standin/src/main/java/org/pimentovale/standin/StoreStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/StoreStandIn.java
@@ -113,10 +113,10 @@
     }
 
     private static String operation(HttpServerRequest request) {
-        if (request.method() == HttpMethod.PUT) {
+        if (request.method().equals(HttpMethod.PUT)) {
             return "write";
         }
-        if (request.method() == HttpMethod.DELETE) {
+        if (request.method().equals(HttpMethod.DELETE)) {
             return "delete";
         }
         return request.getParam("wait_ms") == null ? "read" : "watch";
