--- a/daemon/src/main/java/org/pimentovale/daemon/EntryInstance.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/EntryInstance.java
@@ -180,8 +180,8 @@
         return leases.start()
                 .compose(done -> putFirstTables(watch))
                 .compose(done -> watch.start())
+                .compose(done -> registration.start())
                 .compose(done -> {
-                    registration.start();
                     exchange.start();
                     new EndpointProbing(vertx, tables, loadProbe, settings.probesPerSecond()).start();
                     vertx.setPeriodic(ISOLATION_CHECK_MS, fired -> checkIsolation());
--- a/daemon/src/main/java/org/pimentovale/daemon/MemberRegistration.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/MemberRegistration.java
@@ -47,21 +47,24 @@
         this.tables = tables;
     }
 
-    void start() {
-        register();
-        refresh();
+    /** Registers and then reads the others, so that of two instances that start at once one sees the other. */
+    Future<Void> start() {
+        return register().transform(registered -> refresh());
     }
 
-    private void register() {
+    private Future<Void> register() {
         Member self = tables.members().self();
-        platform.objects().create(KIND, self.name(), Json.write(self)).onFailure(failure -> {
-            if (!left) {
-                vertx.setTimer(REPEAT_MS, fired -> register());
-            }
-        });
+        return platform.objects()
+                .create(KIND, self.name(), Json.write(self))
+                .onFailure(failure -> {
+                    if (!left) {
+                        vertx.setTimer(REPEAT_MS, fired -> register());
+                    }
+                })
+                .mapEmpty();
     }
 
-    private void refresh() {
+    private Future<Void> refresh() {
         boolean listDue = refreshes % REFRESHES_PER_LIST == 0;
         refreshes++;
         Future<Void> listed = listDue
@@ -69,14 +72,15 @@
                         .onSuccess(this::takeOver)
                         .mapEmpty()
                 : Future.succeededFuture();
-        listed.transform(done -> platform.instances())
+        return listed.transform(done -> platform.instances())
                 .onSuccess(this::takeLeaving)
-                .onComplete(result -> {
+                .transform(result -> {
                     // Members come and go also while the platform does not answer.
                     tables.setSurroundings(leaving);
                     int instances = tables.members().live().size();
                     int periodMs = REFRESH_PERIOD_MS * Math.max(1, instances / REFRESHES_PER_PERIOD);
                     vertx.setTimer(periodMs, fired -> refresh());
+                    return Future.succeededFuture();
                 });
     }
 
--- a/daemon/src/main/java/org/pimentovale/daemon/caller/EndpointNews.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/EndpointNews.java
@@ -1,5 +1,6 @@
 package org.pimentovale.daemon.caller;
 
+import io.vertx.core.Future;
 import org.pimentovale.kernel.endpoint.WarmEndpoint;
 
 /** Is told what requests find out about endpoints and other instances should learn. Implementations are thread safe. */
@@ -16,6 +17,7 @@
      *
      * @param fingerprint the request's fingerprint
      * @param endpoint address and incarnation
+     * @return completes, never fails, once other instances know or did not answer
      */
-    void lostWhileRunning(String fingerprint, String endpoint);
+    Future<Void> lostWhileRunning(String fingerprint, String endpoint);
 }
--- a/daemon/src/main/java/org/pimentovale/daemon/caller/RequestRun.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/RequestRun.java
@@ -181,7 +181,7 @@
         answered = true;
         ServingException told = failure.withOutcome(outcome());
         services.metrics().refused(told.code(), told.outcome());
-        writer.fail(told, told.code().status() == 503 ? Math.max(retryAfterMs, 1_000) : retryAfterMs);
+        writer.fail(told, told.code().status() == 503 ? Math.max(retryAfterMs, 1_000) : 0);
         log(
                 "request_failed",
                 "code",
@@ -201,7 +201,8 @@
 
     private void deadlinePassed() {
         deadlineTimer = -1;
-        answerFailure(ServingException.unknown(ErrorCode.DEADLINE_EXCEEDED, "while running"));
+        answerFailure(running.flatMap(StageRun::latestFailure)
+                .orElseGet(() -> ServingException.unknown(ErrorCode.DEADLINE_EXCEEDED, "while running")));
         abandonWork();
     }
 
--- a/daemon/src/main/java/org/pimentovale/daemon/caller/StageRun.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/StageRun.java
@@ -96,6 +96,11 @@
         exchange.ifPresent(StageExchange::cancel);
     }
 
+    /** Returns the failure of the latest attempt, which says more than a deadline that passed during its repetition. */
+    Optional<ServingException> latestFailure() {
+        return lastSentFailure;
+    }
+
     /** Stops reading from the endpoint, while the caller does not keep up. */
     void pause() {
         exchange.ifPresent(StageExchange::pause);
@@ -295,13 +300,14 @@
     private Future<Void> investigateLoss(EndpointConnection connection) {
         return connections.probe(connection.address(), Preference.FRESH).transform(probed -> {
             boolean alive = probed.succeeded() && probed.result().incarnation().equals(connection.incarnation());
-            if (!alive) {
-                lossSeen = true;
-                String endpoint = connection.address() + "#" + connection.incarnation();
-                tables.suspects().recordLoss(request.fingerprint(), endpoint);
-                services.news().lostWhileRunning(request.fingerprint(), endpoint);
+            if (alive) {
+                return Future.succeededFuture();
             }
-            return Future.succeededFuture();
+            lossSeen = true;
+            String endpoint = connection.address() + "#" + connection.incarnation();
+            tables.suspects().recordLoss(request.fingerprint(), endpoint);
+            // Neither a retry nor the caller's resend may be faster than the news.
+            return services.news().lostWhileRunning(request.fingerprint(), endpoint);
         });
     }
 
--- a/daemon/src/main/java/org/pimentovale/daemon/peer/NewsQueue.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/peer/NewsQueue.java
@@ -19,8 +19,8 @@
     private final Set<Object> seen = new LinkedHashSet<>();
     private List<WarmEndpoint> warm = new ArrayList<>();
     private List<PeerNews.Loss> losses = new ArrayList<>();
-    private List<Member> joined = new ArrayList<>();
-    private List<String> gone = new ArrayList<>();
+    private List<PeerNews.Joined> joined = new ArrayList<>();
+    private List<PeerNews.Gone> gone = new ArrayList<>();
 
     synchronized boolean add(WarmEndpoint item) {
         return remember(item) && warm.add(item);
@@ -30,17 +30,12 @@
         return remember(item) && losses.add(item);
     }
 
-    synchronized boolean add(Member item) {
+    synchronized boolean add(PeerNews.Joined item) {
         return remember(item) && joined.add(item);
     }
 
-    synchronized boolean addGone(String name) {
-        return remember("gone " + name) && gone.add(name);
-    }
-
-    /** Forgets that a member was reported as gone, since it answers again. */
-    synchronized void revive(String name) {
-        seen.remove("gone " + name);
+    synchronized boolean add(PeerNews.Gone item) {
+        return remember(item) && gone.add(item);
     }
 
     private boolean remember(Object item) {
@@ -51,13 +46,9 @@
         return unknown;
     }
 
-    synchronized boolean isEmpty() {
-        return warm.isEmpty() && losses.isEmpty() && joined.isEmpty() && gone.isEmpty();
-    }
-
     /** Returns everything that waits, and forgets it. */
-    synchronized PeerNews take(Member from, long revision) {
-        PeerNews news = new PeerNews(from, revision, warm, losses, joined, gone);
+    synchronized PeerNews take(Member from, long epoch, long revision) {
+        PeerNews news = new PeerNews(from, epoch, revision, warm, losses, joined, gone);
         warm = new ArrayList<>();
         losses = new ArrayList<>();
         joined = new ArrayList<>();
--- a/daemon/src/main/java/org/pimentovale/daemon/peer/PeerExchange.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/peer/PeerExchange.java
@@ -79,14 +79,20 @@
         this.seeds = seeds;
     }
 
-    /** Begins to send heartbeats. */
+    /** Tells the others that this instance is here, and begins to send heartbeats. */
     public void start() {
         tables.configuration().addListener(inForce -> vertx.runOnContext(run -> push()));
+        queue.add(new PeerNews.Joined(members.self(), members.ownEpoch()));
         heartbeat();
     }
 
+    private PeerNews takeNews() {
+        return queue.take(
+                members.self(), members.ownEpoch(), tables.configuration().revision());
+    }
+
     private void heartbeat() {
-        PeerNews news = queue.take(members.self(), tables.configuration().revision());
+        PeerNews news = takeNews();
         heartbeatTargets().forEach(address -> send(address, news));
         int periodMs = members.others().size() < SMALL_FLEET ? SMALL_HEARTBEAT_MS : LARGE_HEARTBEAT_MS;
         vertx.setTimer(periodMs, fired -> heartbeat());
@@ -115,49 +121,68 @@
     }
 
     /** Sends waiting news and the revision in force to as many instances as the fan-out allows. */
-    private void push() {
-        PeerNews news = queue.take(members.self(), tables.configuration().revision());
-        List<Member> others = new ArrayList<>(members.others());
+    private Future<Void> push() {
+        PeerNews news = takeNews();
+        List<Member> others = new ArrayList<>(members.live());
+        others.remove(members.self());
         if (others.size() > FAN_OUT) {
             Collections.shuffle(others, random);
             others = others.subList(0, FAN_OUT);
         }
-        others.forEach(member -> send(member.peerAddress(), news));
+        List<Future<?>> sent = new ArrayList<>();
+        others.forEach(member -> sent.add(send(member.peerAddress(), news)));
+        return sent.isEmpty() ? Future.succeededFuture() : Future.join(sent).mapEmpty();
     }
 
-    private void send(String address, PeerNews news) {
-        client.send(address, news)
-                .onSuccess(receipt -> {
-                    metrics.peerMessage("sent", "accepted");
-                    failures.remove(address);
-                    noteMember(receipt.from());
-                    catchUp(address, receipt.revision());
-                })
-                .onFailure(failure -> {
-                    metrics.peerMessage("sent", "rejected");
-                    noteSilence(address);
-                });
+    /** Sends a message; the future does not fail. */
+    private Future<Void> send(String address, PeerNews news) {
+        return client.send(address, news).transform(result -> {
+            if (result.succeeded()) {
+                metrics.peerMessage("sent", "accepted");
+                failures.remove(address);
+                takeReceipt(address, result.result());
+            } else {
+                metrics.peerMessage("sent", "rejected");
+                noteSilence(address);
+            }
+            return Future.succeededFuture();
+        });
+    }
+
+    private void takeReceipt(String address, PeerNews.Receipt receipt) {
+        for (Member member : members.others()) {
+            if (member.peerAddress().equals(address)) {
+                members.heard(
+                        member, members.epoch(member.name()), tables.clock().nowMs());
+            }
+        }
+        receipt.deadEpoch().ifPresent(epoch -> refute(epoch));
+        catchUp(address, receipt.revision());
     }
 
-    private void noteMember(Member member) {
-        boolean unknown =
-                members.others().stream().noneMatch(known -> known.name().equals(member.name()));
-        members.heard(member, tables.clock().nowMs());
-        queue.revive(member.name());
-        if (unknown && queue.add(member)) {
+    /** Tells everybody that this instance lives in an epoch later than the one in which it was held for dead. */
+    private void refute(long epoch) {
+        members.declareDead(members.self().name(), epoch);
+        if (queue.add(new PeerNews.Joined(members.self(), members.ownEpoch()))) {
             vertx.runOnContext(run -> push());
         }
     }
 
+    private boolean noteMember(Member member, long epoch) {
+        members.heard(member, epoch, tables.clock().nowMs());
+        return queue.add(new PeerNews.Joined(member, epoch));
+    }
+
     private void noteSilence(String address) {
-        int count = failures.merge(address, 1, Integer::sum);
-        if (count < FAILURES_OF_A_DEAD_MEMBER) {
+        if (failures.merge(address, 1, Integer::sum) < FAILURES_OF_A_DEAD_MEMBER) {
             return;
         }
+        failures.remove(address);
         for (Member member : members.others()) {
-            if (member.peerAddress().equals(address) && queue.addGone(member.name())) {
+            PeerNews.Gone gone = new PeerNews.Gone(member.name(), members.epoch(member.name()));
+            if (member.peerAddress().equals(address) && queue.add(gone)) {
                 Events.warn(LOG, "peer_silent", "peer", member.name(), "address", address);
-                members.declareDead(member.name(), tables.clock().nowMs());
+                members.declareDead(gone.name(), gone.epoch());
                 vertx.runOnContext(run -> push());
             }
         }
@@ -203,24 +228,24 @@
             tables.suspects().recordLoss(loss.fingerprint(), loss.endpoint());
             unknown |= queue.add(loss);
         }
-        for (Member joined : news.joined()) {
-            if (queue.add(joined)) {
-                unknown = true;
-                members.heard(joined, tables.clock().nowMs());
-            }
+        for (PeerNews.Joined joined : news.joined()) {
+            unknown |= noteMember(joined.member(), joined.epoch());
         }
-        for (String gone : news.gone()) {
-            if (!gone.equals(members.self().name()) && queue.addGone(gone)) {
+        for (PeerNews.Gone gone : news.gone()) {
+            if (gone.name().equals(members.self().name())) {
+                refute(gone.epoch());
+            } else if (queue.add(gone)) {
                 unknown = true;
-                members.declareDead(gone, tables.clock().nowMs());
+                members.declareDead(gone.name(), gone.epoch());
             }
         }
-        noteMember(news.from());
+        unknown |= noteMember(news.from(), news.epoch());
         catchUp(news.from().peerAddress(), news.revision());
         if (unknown) {
             vertx.runOnContext(run -> push());
         }
-        return new PeerNews.Receipt(members.self(), tables.configuration().revision());
+        return new PeerNews.Receipt(
+                tables.configuration().revision(), members.deadEpoch(news.from().name()));
     }
 
     @Override
@@ -232,11 +257,10 @@
     }
 
     @Override
-    public void lostWhileRunning(String fingerprint, String endpoint) {
+    public Future<Void> lostWhileRunning(String fingerprint, String endpoint) {
         Events.warn(LOG, "endpoint_lost", "endpoint", endpoint, "fingerprint", fingerprint);
-        if (queue.add(new PeerNews.Loss(fingerprint, endpoint))) {
-            push();
-        }
+        queue.add(new PeerNews.Loss(fingerprint, endpoint));
+        return push();
     }
 
     /**
@@ -245,8 +269,8 @@
      * @return completes once all were told or did not answer
      */
     public Future<Void> leave() {
-        queue.addGone(members.self().name());
-        PeerNews news = queue.take(members.self(), tables.configuration().revision());
+        queue.add(new PeerNews.Gone(members.self().name(), members.ownEpoch()));
+        PeerNews news = takeNews();
         List<Future<?>> sent = new ArrayList<>();
         members.others().stream().limit(FAN_OUT).forEach(member -> sent.add(client.send(member.peerAddress(), news)));
         return sent.isEmpty()
--- a/daemon/src/main/java/org/pimentovale/daemon/peer/PeerNews.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/peer/PeerNews.java
@@ -1,6 +1,7 @@
 package org.pimentovale.daemon.peer;
 
 import java.util.List;
+import java.util.Optional;
 import org.pimentovale.kernel.endpoint.WarmEndpoint;
 import org.pimentovale.kernel.membership.Member;
 
@@ -8,19 +9,21 @@
  * A message between instances; an empty one is a heartbeat. Immutable and thread safe.
  *
  * @param from the sender
+ * @param epoch how often the sender has refuted its death
  * @param revision the revision in force at the sender
  * @param warm endpoints that became warm
  * @param losses endpoints that were lost while a request ran
  * @param joined members that the sender learnt of
- * @param gone names of members that left or stopped answering
+ * @param gone members that left or stopped answering
  */
 public record PeerNews(
         Member from,
+        long epoch,
         long revision,
         List<WarmEndpoint> warm,
         List<Loss> losses,
-        List<Member> joined,
-        List<String> gone) {
+        List<Joined> joined,
+        List<Gone> gone) {
     /**
      * An endpoint that was lost while a request ran.
      *
@@ -29,13 +32,29 @@
      */
     public record Loss(String fingerprint, String endpoint) {}
 
+    /**
+     * A member that lives.
+     *
+     * @param member the member
+     * @param epoch the epoch in which it lives
+     */
+    public record Joined(Member member, long epoch) {}
+
+    /**
+     * A member that left or stopped answering.
+     *
+     * @param name its name
+     * @param epoch the epoch in which it is dead
+     */
+    public record Gone(String name, long epoch) {}
+
     /**
      * The answer to a message.
      *
-     * @param from the receiver
      * @param revision the revision in force at the receiver
+     * @param deadEpoch the epoch in which the receiver holds the sender for dead, so that the sender can refute it
      */
-    public record Receipt(Member from, long revision) {}
+    public record Receipt(long revision, Optional<Long> deadEpoch) {}
 
     /**
      * Tells whether all parts are present.
--- a/kernel/src/main/java/org/pimentovale/kernel/membership/MemberTable.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/membership/MemberTable.java
@@ -19,7 +19,9 @@
     private final Member self;
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Long> heardMs = new HashMap<>();
-    private final Set<String> dead = new HashSet<>();
+    private final Map<String, Long> epochs = new HashMap<>();
+    private final Map<String, Long> deadEpochs = new HashMap<>();
+    private long ownEpoch;
 
     /**
      * Creates a table that holds only this instance.
@@ -56,42 +58,82 @@
         members.clear();
         members.putAll(next);
         heardMs.keySet().retainAll(next.keySet());
-        dead.retainAll(next.keySet());
+        epochs.keySet().retainAll(next.keySet());
+        deadEpochs.keySet().retainAll(next.keySet());
     }
 
     /**
-     * Records that a member was heard from.
+     * Records that a member was heard from, directly or through others.
      *
      * @param member the member
+     * @param epoch how often it has refuted its death
      * @param nowMs the time
      */
-    public synchronized void heard(Member member, long nowMs) {
+    public synchronized void heard(Member member, long epoch, long nowMs) {
         if (!member.name().equals(self.name())) {
             members.put(member.name(), member);
             heardMs.put(member.name(), nowMs);
-            dead.remove(member.name());
+            epochs.merge(member.name(), epoch, Math::max);
         }
     }
 
     /**
-     * Records that a member left or stopped answering; it counts as live again once it is heard from.
+     * Records that a member left or stopped answering in an epoch; it counts as live again in a later one. Where this
+     * instance itself is meant, it enters a later epoch.
      *
      * @param name its name
-     * @param nowMs the time
+     * @param epoch the epoch in which it is dead
      */
-    public synchronized void declareDead(String name, long nowMs) {
-        if (members.containsKey(name)) {
-            dead.add(name);
+    public synchronized void declareDead(String name, long epoch) {
+        if (name.equals(self.name())) {
+            ownEpoch = Math.max(ownEpoch, epoch + 1);
+        } else if (members.containsKey(name)) {
+            deadEpochs.merge(name, epoch, Math::max);
         }
     }
 
+    /**
+     * Returns how often this instance has refuted its death.
+     *
+     * @return the epoch, from zero
+     */
+    public synchronized long ownEpoch() {
+        return ownEpoch;
+    }
+
+    /**
+     * Returns the latest epoch in which a member is known.
+     *
+     * @param name its name
+     * @return the epoch
+     */
+    public synchronized long epoch(String name) {
+        return epochs.getOrDefault(name, 0L);
+    }
+
+    /**
+     * Returns the epoch in which a member is dead.
+     *
+     * @param name its name
+     * @return the epoch, or empty where it is live
+     */
+    public synchronized Optional<Long> deadEpoch(String name) {
+        return isDead(name) ? Optional.of(deadEpochs.get(name)) : Optional.empty();
+    }
+
+    private boolean isDead(String name) {
+        return deadEpochs.getOrDefault(name, -1L) >= epochs.getOrDefault(name, 0L);
+    }
+
     /**
      * Returns the members that left or stopped answering.
      *
      * @return their names
      */
     public synchronized Set<String> dead() {
-        return Set.copyOf(dead);
+        Set<String> dead = new HashSet<>(members.keySet());
+        dead.removeIf(name -> !isDead(name));
+        return dead;
     }
 
     /**
@@ -114,7 +156,7 @@
         List<Member> live = new ArrayList<>();
         live.add(self);
         for (Member member : members.values()) {
-            if (!dead.contains(member.name())) {
+            if (!isDead(member.name())) {
                 live.add(member);
             }
         }
--- a/kernel/src/main/java/org/pimentovale/kernel/routing/PredictedFinishPolicy.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/routing/PredictedFinishPolicy.java
@@ -43,7 +43,7 @@
      */
     static double predictedMs(Candidate candidate, long slackMs) {
         double load = (double) candidate.totalInFlight() / candidate.limit();
-        double predicted = candidate.baseMs() * (1 + load * load);
+        double predicted = candidate.baseMs() * (1 + load);
         if (candidate.prefixCached()) {
             predicted *= CACHED_PREFIX_FACTOR;
         }
--- a/kernel/src/main/java/org/pimentovale/kernel/schedule/EndpointState.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/schedule/EndpointState.java
@@ -19,9 +19,11 @@
     private static final long LONGEST_SUSPENSION_MS = 5_000;
     private static final int LARGEST_SHIFT = 5;
     private static final long REPORT_LIFETIME_MS = 3_000;
+    private static final double MEASUREMENT_LIFETIME_MS = 5_000;
 
     private final Endpoint endpoint;
     private double baseMs;
+    private long measuredAtMs;
     private double limitFactor = 1;
     private int inFlight;
     private int suspects;
@@ -46,8 +48,10 @@
         return inFlight;
     }
 
-    double baseMs() {
-        return baseMs;
+    /** Returns the measured service time without load; an old measurement gives way to that of the pool. */
+    double baseMs(double poolBaseMs, long nowMs) {
+        double weight = Math.exp(-(nowMs - measuredAtMs) / MEASUREMENT_LIFETIME_MS);
+        return poolBaseMs + weight * (baseMs - poolBaseMs);
     }
 
     boolean suspended(long nowMs) {
@@ -100,9 +104,10 @@
             consecutiveFailures = 0;
             consecutiveSilences = 0;
             limitFactor = Math.min(1, limitFactor + RECOVERY_STEP);
-            double sample = result.serviceMs() / (1 + grant.load() * grant.load());
+            double sample = result.serviceMs() / (1 + grant.load());
             if (!grant.cold()) {
                 baseMs += SERVICE_TIME_WEIGHT * (sample - baseMs);
+                measuredAtMs = nowMs;
             }
         }
         result.failure().ifPresent(reason -> recordFailure(reason, nowMs));
--- a/kernel/src/main/java/org/pimentovale/kernel/schedule/PoolScheduler.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/schedule/PoolScheduler.java
@@ -46,6 +46,7 @@
     private Set<String> subset = Set.of();
     private final QuantileEstimate quickMs;
     private double meanMs;
+    private double poolBaseMs;
     private int inFlight;
     private long turn;
     private long lastSubmittedMs = Long.MIN_VALUE / 2;
@@ -75,6 +76,7 @@
         this.warmth = warmth;
         this.queueLimit = queueLimit;
         this.meanMs = pool.expectedMs();
+        this.poolBaseMs = pool.expectedMs();
         this.quickMs = new QuantileEstimate(QUICK_SHARE, pool.expectedMs());
         apply(pool, surroundings);
     }
@@ -230,7 +232,7 @@
                 state.inFlight(),
                 state.totalInFlight(nowMs),
                 pool.limit(),
-                state.baseMs(),
+                state.baseMs(poolBaseMs, nowMs),
                 prefixes.holds(work.prefix(), address),
                 known == Warmth.COLD);
     }
@@ -286,6 +288,7 @@
             }
             if (result.answered()) {
                 double serviceMs = result.serviceMs();
+                poolBaseMs += MEAN_WEIGHT * (serviceMs / (1 + grant.load()) - poolBaseMs);
                 meanMs += MEAN_WEIGHT * (serviceMs - meanMs);
                 quickMs.add(serviceMs);
             }
@@ -412,7 +415,7 @@
                                 state, effectiveWarmth(state.endpoint().address()), surroundings, nowMs),
                         state.inFlight(),
                         state.totalInFlight(nowMs),
-                        Math.round(state.baseMs())))
+                        Math.round(state.baseMs(poolBaseMs, nowMs))))
                 .toList();
     }
 }
--- a/kernel/src/test/java/org/pimentovale/kernel/membership/MemberTableTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/membership/MemberTableTest.java
@@ -15,15 +15,25 @@
     @Nested
     class Liveness {
         @Test
-        void aSilentMemberStopsCountingUntilItIsHeardAgain() {
+        void aDeadMemberCountsAgainOnlyInALaterEpoch() {
             MemberTable table = new MemberTable(member(0));
             table.setRegistered(List.of(member(0), member(1), member(2)), 0);
             assertThat(table.live()).hasSize(3);
-            table.declareDead("member-1", 10);
+            table.declareDead("member-1", 0);
             assertThat(table.live()).containsExactly(member(0), member(2));
-            table.heard(member(1), 20);
+            table.heard(member(1), 0, 20);
+            assertThat(table.live()).hasSize(2);
+            table.heard(member(1), 1, 30);
             assertThat(table.live()).hasSize(3);
         }
+
+        @Test
+        void anInstanceRefutesItsOwnDeath() {
+            MemberTable table = new MemberTable(member(0));
+            table.declareDead("member-0", 0);
+            assertThat(table.ownEpoch()).isEqualTo(1);
+            assertThat(table.live()).containsExactly(member(0));
+        }
     }
 
     @Nested
--- a/proof/src/test/java/org/pimentovale/proof/ZoneTest.java
+++ b/proof/src/test/java/org/pimentovale/proof/ZoneTest.java
@@ -41,9 +41,7 @@
 
     private boolean serves(EndpointStandIn endpoint) {
         long before = fleet.stats(endpoint).getLong("received");
-        for (int position = 0; position < 6; position++) {
-            fleet.ask(position % 2 == 0 ? first : second, "chat", "{\"prompt\":\"tree\"}");
-        }
+        sendMany(12).forEach(CompletableFuture::join);
         return fleet.stats(endpoint).getLong("received") > before;
     }
 
