--- a/kernel/src/main/java/org/pimentovale/kernel/schedule/PoolScheduler.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/schedule/PoolScheduler.java
@@ -32,6 +32,7 @@
     private static final int SMALLEST_SUBSET = 8;
     private static final double MEAN_WEIGHT = 0.1;
     private static final double QUICK_SHARE = 0.2;
+    private static final double SLOW_SHARE = 0.95;
 
     private final RoutingPolicy policy;
     private final MonotonicClock clock;
@@ -45,6 +46,7 @@
     private SchedulerSurroundings surroundings;
     private Set<String> subset = Set.of();
     private final QuantileEstimate quickMs;
+    private final QuantileEstimate slowMs;
     private double meanMs;
     private double poolBaseMs;
     private int inFlight;
@@ -78,6 +80,7 @@
         this.meanMs = pool.expectedMs();
         this.poolBaseMs = pool.expectedMs();
         this.quickMs = new QuantileEstimate(QUICK_SHARE, pool.expectedMs());
+        this.slowMs = new QuantileEstimate(SLOW_SHARE, pool.expectedMs());
         apply(pool, surroundings);
     }
 
@@ -137,7 +140,7 @@
             lastSubmittedMs = nowMs;
             if (subset.isEmpty()) {
                 refuse(ticket, ErrorCode.NO_ENDPOINT, actions);
-            } else if (hopeless(work, nowMs, 0)) {
+            } else if (hopeless(work, nowMs)) {
                 refuse(ticket, ErrorCode.DEADLINE_UNREACHABLE, actions);
             } else if (queue.size() > 0 || !tryGrant(ticket, nowMs, actions)) {
                 enqueue(ticket, nowMs, actions);
@@ -148,13 +151,19 @@
         return ticket;
     }
 
-    private boolean hopeless(StageWork work, long nowMs, long waitMs) {
-        return nowMs + waitMs + quickMs.value() + work.laterStagesMs() > work.deadlineAtMs();
+    /** With free endpoints a quick call may still make it. */
+    private boolean hopeless(StageWork work, long nowMs) {
+        return nowMs + quickMs.value() + work.laterStagesMs() > work.deadlineAtMs();
+    }
+
+    /** While work waits, a call that will probably be late takes the place of one that will not. */
+    private boolean unlikely(StageWork work, long nowMs, long waitMs) {
+        return nowMs + waitMs + slowMs.value() + work.laterStagesMs() > work.deadlineAtMs();
     }
 
     private void enqueue(Ticket ticket, long nowMs, List<Runnable> actions) {
         long waitMs = waitMs(queue.ahead(ticket.work()));
-        if (hopeless(ticket.work(), nowMs, waitMs)) {
+        if (unlikely(ticket.work(), nowMs, waitMs)) {
             refuse(ticket, ErrorCode.DEADLINE_UNREACHABLE, actions);
             return;
         }
@@ -238,7 +247,7 @@
     }
 
     private void drain(long nowMs, List<Runnable> actions) {
-        for (Ticket late : queue.removeAll(ticket -> hopeless(ticket.work(), nowMs, 0))) {
+        for (Ticket late : queue.removeAll(ticket -> unlikely(ticket.work(), nowMs, 0))) {
             refuse(late, ErrorCode.DEADLINE_UNREACHABLE, actions);
         }
         if (subset.isEmpty()) {
@@ -291,6 +300,7 @@
                 poolBaseMs += MEAN_WEIGHT * (serviceMs / (1 + grant.load()) - poolBaseMs);
                 meanMs += MEAN_WEIGHT * (serviceMs - meanMs);
                 quickMs.add(serviceMs);
+                slowMs.add(serviceMs);
             }
             drain(nowMs, actions);
         }
@@ -368,8 +378,7 @@
      */
     public synchronized long leastMs(String workspace, Urgency urgency) {
         StageWork probe = new StageWork("", workspace, urgency, 0, 0, 0, Set.of(), false);
-        long waiting = queue.size() == 0 ? 0 : waitMs(queue.ahead(probe));
-        return waiting + (long) quickMs.value();
+        return queue.size() == 0 ? (long) quickMs.value() : waitMs(queue.ahead(probe)) + (long) slowMs.value();
     }
 
     /**
