--- a/bench/src/main/java/org/pimentovale/bench/FleetSlopeCommand.java
+++ b/bench/src/main/java/org/pimentovale/bench/FleetSlopeCommand.java
@@ -19,7 +19,6 @@
 import org.pimentovale.daemon.EntryInstance;
 import org.pimentovale.daemon.settings.DaemonSettings;
 import org.pimentovale.daemon.settings.DaemonSettingsReader;
-import org.pimentovale.json.Json;
 import org.pimentovale.platform.HttpPlatform;
 import org.pimentovale.platform.change.ConfigurationEdit;
 import org.pimentovale.platform.change.ConfigurationEditor;
@@ -53,21 +52,17 @@
             System.out.println(new JsonObject(row).encode());
             rows.add(row);
         }
-        try {
-            Files.writeString(Path.of(options.output()), Json.writeIndented(rows));
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
-        }
+        Measurement.write(options.output(), rows);
     }
 
     private static Map<String, Object> measure(int size) {
         Vertx vertx = Vertx.vertx();
         StoreStandIn store = new StoreStandIn(0);
         vertx.deployVerticle(store).toCompletionStage().toCompletableFuture().join();
-        long heapBefore = usedHeap();
+        long heapBefore = Measurement.usedHeap();
         List<EntryInstance> instances = start(vertx, store.actualPort(), size);
         pause(vertx, SETTLE_S);
-        long heap = usedHeap() - heapBefore;
+        long heap = Measurement.usedHeap() - heapBefore;
 
         JsonObject countsBefore = counts(vertx, store);
         long bytesBefore = loopbackBytes();
@@ -176,12 +171,6 @@
                 .join();
     }
 
-    private static long usedHeap() {
-        System.gc();
-        Runtime runtime = Runtime.getRuntime();
-        return runtime.totalMemory() - runtime.freeMemory();
-    }
-
     private static long processorNanos() {
         return ((com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
                 .getProcessCpuTime();
--- a/bench/src/main/java/org/pimentovale/bench/KernelSlopeCommand.java
+++ b/bench/src/main/java/org/pimentovale/bench/KernelSlopeCommand.java
@@ -1,9 +1,5 @@
 package org.pimentovale.bench;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -63,17 +59,13 @@
             System.out.println(Json.writeIndented(row));
             rows.add(row);
         }
-        try {
-            Files.writeString(Path.of(options.output()), Json.writeIndented(rows));
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
-        }
+        Measurement.write(options.output(), rows);
     }
 
     private static Map<String, Object> measure(int size) {
         Configuration configuration = configuration(size);
         byte[] stored = Json.write(configuration);
-        long heapBefore = usedHeap();
+        long heapBefore = Measurement.usedHeap();
         ServingTables tables = new ServingTables(
                 () -> 1_000,
                 SplittableRandom::new,
@@ -87,7 +79,7 @@
                 tables.warmth().learnWarm(new WarmEndpoint(endpoint.address(), "one"));
             }
         }
-        long heap = usedHeap() - heapBefore;
+        long heap = Measurement.usedHeap() - heapBefore;
         PoolScheduler scheduler = tables.scheduler("pool-0").orElseThrow();
         decide(scheduler, WARM_UP);
         long nanos = decide(scheduler, DECISIONS);
@@ -183,10 +175,4 @@
         deflater.end();
         return length;
     }
-
-    private static long usedHeap() {
-        System.gc();
-        Runtime runtime = Runtime.getRuntime();
-        return runtime.totalMemory() - runtime.freeMemory();
-    }
 }
--- /dev/null
+++ b/bench/src/main/java/org/pimentovale/bench/Measurement.java
@@ -0,0 +1,28 @@
+package org.pimentovale.bench;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.pimentovale.json.Json;
+
+/** What several measurements need. Stateless and thread safe. */
+final class Measurement {
+    private Measurement() {}
+
+    /** Returns the bytes in use on the heap after a collection. */
+    static long usedHeap() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    /** Writes a result as indented JSON. */
+    static void write(String file, Object result) {
+        try {
+            Files.writeString(Path.of(file), Json.writeIndented(result));
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+}
--- a/bench/src/main/java/org/pimentovale/bench/OverheadCommand.java
+++ b/bench/src/main/java/org/pimentovale/bench/OverheadCommand.java
@@ -79,11 +79,7 @@
         figures.put("resident_1000_streams_mb", withOpenStreams(client, entryWay, options.process()));
         String json = Json.writeIndented(figures);
         System.out.println(json);
-        try {
-            Files.writeString(Path.of(options.output()), json);
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
-        }
+        Measurement.write(options.output(), figures);
     }
 
     private static Future<Void> call(HttpClient client, Way way) {
--- a/bench/src/main/java/org/pimentovale/bench/ReplayCommand.java
+++ b/bench/src/main/java/org/pimentovale/bench/ReplayCommand.java
@@ -3,11 +3,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import org.pimentovale.json.Json;
 
 /** The command {@code replay}. Stateless and thread safe. */
 public final class ReplayCommand implements BenchCommand {
@@ -34,11 +29,7 @@
                     .onComplete(promise);
         }));
         ReplayResult measured = result.toCompletionStage().toCompletableFuture().join();
-        try {
-            Files.writeString(Path.of(options.output()), Json.writeIndented(measured));
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
-        }
+        Measurement.write(options.output(), measured);
         System.out.printf(
                 "%s %s offered=%.1f/s capacity=%.1f/s sent=%d attainment=%.4f useful=%.3f failures=%s%n",
                 measured.workload(),
--- a/daemon/src/main/java/org/pimentovale/daemon/configuration/ConfigurationWatch.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/configuration/ConfigurationWatch.java
@@ -12,6 +12,7 @@
 import org.pimentovale.kernel.ServingTables;
 import org.pimentovale.platform.ObjectStore;
 import org.pimentovale.platform.StoredObject;
+import org.pimentovale.platform.change.ConfigurationEditor;
 import org.pimentovale.table.Configuration;
 
 /**
@@ -22,12 +23,6 @@
  * nothing. Thread safe.
  */
 public final class ConfigurationWatch {
-    /** The kind of the stored configuration. */
-    public static final String KIND = "configuration";
-
-    /** The name of the stored configuration. */
-    public static final String NAME = "current";
-
     private static final Logger LOG = Logger.getLogger(ConfigurationWatch.class);
     private static final int WATCH_MS = 10_000;
     private static final int REPEAT_MS = 200;
@@ -80,19 +75,21 @@
     }
 
     private void watch() {
-        store.awaitChange(KIND, NAME, storedVersion, WATCH_MS).onComplete(result -> {
-            if (result.succeeded()) {
-                result.result().ifPresent(this::offer);
-                vertx.runOnContext(run -> watch());
-            } else {
-                metrics.storeFailed("watch");
-                vertx.setTimer(REPEAT_MS + random.nextInt(REPEAT_MS), fired -> watch());
-            }
-        });
+        store.awaitChange(ConfigurationEditor.KIND, ConfigurationEditor.NAME, storedVersion, WATCH_MS)
+                .onComplete(result -> {
+                    if (result.succeeded()) {
+                        result.result().ifPresent(this::offer);
+                        vertx.runOnContext(run -> watch());
+                    } else {
+                        metrics.storeFailed("watch");
+                        vertx.setTimer(REPEAT_MS + random.nextInt(REPEAT_MS), fired -> watch());
+                    }
+                });
     }
 
     private Future<Void> read() {
-        Future<Optional<StoredObject>> stored = health.watch(store.read(KIND, NAME));
+        Future<Optional<StoredObject>> stored =
+                health.watch(store.read(ConfigurationEditor.KIND, ConfigurationEditor.NAME));
         return stored.<Void>transform(result -> {
             if (result.succeeded()) {
                 result.result().ifPresent(this::offer);
@@ -144,6 +141,7 @@
         Optional<Configuration> inForce = tables.configuration().inForce();
         return inForce.isPresent()
                 ? Future.succeededFuture()
-                : store.create(KIND, NAME, bytes).mapEmpty();
+                : store.create(ConfigurationEditor.KIND, ConfigurationEditor.NAME, bytes)
+                        .mapEmpty();
     }
 }
