Refuse waiting work of a removed pool, and release grants where they came from

Cause (read, not seen): a pool that leaves the tables kept its waiting requests until their deadlines, and a grant could be released on the scheduler of a pool added again under the same name. Test: PoolSchedulerTest.WhenThePoolIsRemoved.

--- a/daemon/src/main/java/org/pimentovale/daemon/caller/StageRun.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/StageRun.java
@@ -50,6 +50,9 @@
     private final Map<String, JsonNode> results;
     private final StageRunOwner owner;
     private final Set<String> excluded = new HashSet<>();
+    /** The scheduler that gave or owes the grant; the tables may hold another one by the time of the release. */
+    private Optional<PoolScheduler> granting = Optional.empty();
+
     private Optional<Ticket> ticket = Optional.empty();
     private Optional<Promise<Grant>> awaited = Optional.empty();
     private Optional<StageExchange> exchange = Optional.empty();
@@ -92,7 +95,7 @@
     /** Ends the stage: waiting work is taken back, and a running call is closed. */
     void cancel() {
         cancelled = true;
-        ticket.ifPresent(waiting -> scheduler().ifPresent(scheduler -> scheduler.cancel(waiting)));
+        ticket.ifPresent(waiting -> granting.ifPresent(scheduler -> scheduler.cancel(waiting)));
         awaited.ifPresent(promise ->
                 promise.tryFail(ServingException.notRun(ErrorCode.CALLER_LEFT, "while waiting for an endpoint")));
         exchange.ifPresent(StageExchange::cancel);
@@ -166,6 +169,7 @@
                 Set.copyOf(excluded),
                 suspect);
         PoolScheduler source = scheduler.get();
+        granting = scheduler;
         ticket = Optional.of(source.submit(work, new GrantListener() {
             @Override
             public void granted(Grant grant) {
@@ -195,7 +199,7 @@
                 return dispatch(grant, preference)
                         .onComplete(ended -> services.guard().endIsolation(address, right.get()));
             }
-            scheduler().ifPresent(scheduler -> scheduler.release(grant, CallResult.abandoned()));
+            granting.ifPresent(scheduler -> scheduler.release(grant, CallResult.abandoned()));
             return services.vertx()
                     .timer(ISOLATION_REPEAT_MS)
                     .compose(fired -> awaitGrant(true))
@@ -205,19 +209,16 @@
 
     private Future<StageResult> dispatch(Grant grant, Preference preference) {
         ticket = Optional.empty();
-        Optional<PoolScheduler> scheduler = scheduler();
-        if (scheduler.isEmpty()) {
-            return Future.failedFuture(ServingException.notRun(ErrorCode.NO_ENDPOINT, "pool removed"));
-        }
+        PoolScheduler scheduler = granting.orElseThrow();
         String address = grant.endpoint().address();
         return connections
                 .take(address, preference)
                 .recover(failure -> {
-                    scheduler.get().release(grant, CallResult.failed(RetryReason.CONNECT_FAILED));
+                    scheduler.release(grant, CallResult.failed(RetryReason.CONNECT_FAILED));
                     excluded.add(address);
                     return Future.failedFuture(failure);
                 })
-                .compose(connection -> dispatchOn(scheduler.get(), grant, connection));
+                .compose(connection -> dispatchOn(scheduler, grant, connection));
     }
 
     private Future<StageResult> dispatchOn(PoolScheduler scheduler, Grant grant, EndpointConnection connection) {
--- a/kernel/src/main/java/org/pimentovale/kernel/ServingTables.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/ServingTables.java
@@ -80,7 +80,11 @@
             pool.endpoints().forEach(endpoint -> rules.merge(endpoint.address(), rule, ServingTables::stricter));
         }
         warmth.retain(rules);
-        schedulers.keySet().removeIf(name -> inForce.tables().pool(name).isEmpty());
+        for (String name : List.copyOf(schedulers.keySet())) {
+            if (inForce.tables().pool(name).isEmpty()) {
+                schedulers.remove(name).close();
+            }
+        }
         for (Pool pool : inForce.tables().pools()) {
             PoolScheduler scheduler = schedulers.get(pool.name());
             if (scheduler != null) {
--- a/kernel/src/main/java/org/pimentovale/kernel/schedule/PoolScheduler.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/schedule/PoolScheduler.java
@@ -307,6 +307,14 @@
         actions.forEach(Runnable::run);
     }
 
+    /** Refuses all waiting and later work, since the pool is no longer in the tables; running calls may end. */
+    public void close() {
+        synchronized (this) {
+            subset = Set.of();
+        }
+        tick();
+    }
+
     /** Refuses waiting work that has become hopeless, and grants what may be granted now. */
     public void tick() {
         List<Runnable> actions = new ArrayList<>();
--- a/kernel/src/test/java/org/pimentovale/kernel/schedule/PoolSchedulerTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/schedule/PoolSchedulerTest.java
@@ -146,6 +146,20 @@
         }
     }
 
+    @Nested
+    class WhenThePoolIsRemoved {
+        @Test
+        void waitingWorkIsRefusedAndAnOldGrantMeetsAnObjection() {
+            Bench bench = new Bench(1, LIMIT).warm();
+            for (int position = 0; position < 3; position++) {
+                bench.submit("one", Urgency.INTERACTIVE, 10_000);
+            }
+            bench.scheduler.close();
+            assertThat(bench.refusals).containsExactly(ErrorCode.NO_ENDPOINT);
+            assertThat(bench.scheduler.objection(bench.grants.get(0))).hasValue(ErrorCode.NO_ENDPOINT);
+        }
+    }
+
     @Nested
     class WhenAnEndpointIsCold {
         @Test
