--- a/proof/src/test/java/org/pimentovale/proof/BadInputTest.java
+++ b/proof/src/test/java/org/pimentovale/proof/BadInputTest.java
@@ -116,10 +116,12 @@
         void aFailingServiceDoesNotMultiplyLoad() {
             fleet.command(service.actualPort(), "/faults", "{\"failures\":100000}");
             int requests = 400;
+            fleet.apply(Fleet.pool("wide", "service", "", service, "zone-a").replace("limit = 32", "limit = 400")
+                    + Fleet.route("wide", 2_000, "urgent", "check", "wide"));
             List<CompletableFuture<HttpResponse<String>>> sent = new ArrayList<>();
             for (int position = 0; position < requests; position++) {
                 String body = "{\"position\":" + position + "}";
-                sent.add(fleet.sendLater(fleet.request(entry, "check", body).build()));
+                sent.add(fleet.sendLater(fleet.request(entry, "wide", body).build()));
             }
             sent.forEach(CompletableFuture::join);
             // One retry for ten first attempts, and a burst of ten.
--- a/proof/src/test/java/org/pimentovale/proof/ColdEndpointTest.java
+++ b/proof/src/test/java/org/pimentovale/proof/ColdEndpointTest.java
@@ -81,6 +81,27 @@
         }
     }
 
+    @Nested
+    class WhenEndpointsCheckFencingTokens {
+        @Test
+        void coldCallsCarryTheNumberOfTheLease() {
+            start(1, 2);
+            EndpointStandIn engine = engines.get(0);
+            fleet.apply(Fleet.pool(
+                                    "engine",
+                                    "chat",
+                                    "cold_limit = 2\nchecks_fencing = true\nwarm_after_requests = " + COLD_REQUESTS,
+                                    engine,
+                                    "zone-a")
+                            .replace("limit = 32", "limit = 16")
+                    + Fleet.route("chat", 15_000, "interactive", "generate", "engine"));
+            fleet.command(engine.actualPort(), "/faults", "{\"checks_fencing\":true}");
+            assertThat(answered(load(40))).isEqualTo(40);
+            assertThat(fleet.stats(engine).getLong("highest_token")).isGreaterThan(0L);
+            assertNeverTooMuch();
+        }
+    }
+
     @Nested
     class WhenAnEndpointTurnsColdWithoutWarning {
         @Test
