--- a/bench/src/main/java/org/pimentovale/bench/FleetSlopeCommand.java
+++ b/bench/src/main/java/org/pimentovale/bench/FleetSlopeCommand.java
@@ -19,10 +19,10 @@
 import org.pimentovale.daemon.EntryInstance;
 import org.pimentovale.daemon.settings.DaemonSettings;
 import org.pimentovale.daemon.settings.DaemonSettingsReader;
-import org.pimentovale.platform.HttpPlatform;
-import org.pimentovale.platform.change.ConfigurationEdit;
-import org.pimentovale.platform.change.ConfigurationEditor;
 import org.pimentovale.standin.StoreStandIn;
+import org.pimentovale.store.HttpPlatform;
+import org.pimentovale.store.change.ConfigurationEdit;
+import org.pimentovale.store.change.ConfigurationEditor;
 
 /**
  * The command {@code fleet-slope}: what N instances at rest cost in store calls, bytes, processor time and memory, and
--- a/daemon/src/main/java/org/pimentovale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/EntryDaemon.java
@@ -12,10 +12,10 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
-import org.pimentovale.daemon.log.LoggingSetup;
 import org.pimentovale.daemon.settings.DaemonSettings;
 import org.pimentovale.daemon.settings.DaemonSettingsReader;
 import org.pimentovale.error.ServingException;
+import org.pimentovale.log.LoggingSetup;
 
 /** The entry daemon's program. Exit codes: 0 after a shutdown, 1 where it cannot start, 2 for unusable arguments. */
 public final class EntryDaemon {
--- a/daemon/src/main/java/org/pimentovale/daemon/MemberRegistration.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/MemberRegistration.java
@@ -8,14 +8,14 @@
 import java.util.Set;
 import org.jboss.logging.Logger;
 import org.pimentovale.daemon.claim.StoreHealth;
-import org.pimentovale.daemon.log.Events;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.json.Json;
 import org.pimentovale.kernel.ServingTables;
 import org.pimentovale.kernel.membership.Member;
-import org.pimentovale.platform.Platform;
-import org.pimentovale.platform.PlatformInstance;
-import org.pimentovale.platform.StoredObject;
+import org.pimentovale.log.Events;
+import org.pimentovale.store.Platform;
+import org.pimentovale.store.PlatformInstance;
+import org.pimentovale.store.StoredObject;
 
 /**
  * Registers this instance in the store, learns of the others, and removes those that are gone.
--- a/daemon/src/main/java/org/pimentovale/daemon/caller/CallerListener.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/CallerListener.java
@@ -13,9 +13,9 @@
 import org.pimentovale.daemon.endpoint.LoadProbe;
 import org.pimentovale.daemon.http.BodyReader;
 import org.pimentovale.daemon.http.Listeners;
-import org.pimentovale.daemon.log.Events;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
+import org.pimentovale.log.Events;
 
 /**
  * One worker: an event loop that serves callers, with its own connections to endpoints, over the shared tables. Not
--- a/daemon/src/main/java/org/pimentovale/daemon/caller/RequestRun.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/RequestRun.java
@@ -12,13 +12,13 @@
 import org.pimentovale.daemon.claim.ClaimLedger;
 import org.pimentovale.daemon.claim.HeldClaim;
 import org.pimentovale.daemon.endpoint.EndpointConnections;
-import org.pimentovale.daemon.log.Events;
 import org.pimentovale.daemon.protocol.StageResult;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.Outcome;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.json.Json;
 import org.pimentovale.kernel.claim.ClaimState;
+import org.pimentovale.log.Events;
 import org.pimentovale.table.Stage;
 
 /**
--- a/daemon/src/main/java/org/pimentovale/daemon/caller/StageRun.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/StageRun.java
@@ -13,7 +13,6 @@
 import org.pimentovale.daemon.endpoint.EndpointConnections;
 import org.pimentovale.daemon.endpoint.EndpointConnections.Preference;
 import org.pimentovale.daemon.endpoint.StageExchange;
-import org.pimentovale.daemon.log.Events;
 import org.pimentovale.daemon.protocol.StageRequest;
 import org.pimentovale.daemon.protocol.StageResult;
 import org.pimentovale.error.ErrorCode;
@@ -27,6 +26,7 @@
 import org.pimentovale.kernel.schedule.StageWork;
 import org.pimentovale.kernel.schedule.Ticket;
 import org.pimentovale.kernel.suspect.SuspectVerdict;
+import org.pimentovale.log.Events;
 import org.pimentovale.table.Stage;
 
 /**
--- a/daemon/src/main/java/org/pimentovale/daemon/claim/ClaimLedger.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/claim/ClaimLedger.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jboss.logging.Logger;
-import org.pimentovale.daemon.log.Events;
 import org.pimentovale.daemon.metric.DaemonMetrics;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.Outcome;
@@ -18,9 +17,10 @@
 import org.pimentovale.kernel.claim.ClaimRecord;
 import org.pimentovale.kernel.claim.ClaimState;
 import org.pimentovale.kernel.time.MonotonicClock;
-import org.pimentovale.platform.ObjectStore;
-import org.pimentovale.platform.StoredObject;
-import org.pimentovale.platform.WriteResult;
+import org.pimentovale.log.Events;
+import org.pimentovale.store.ObjectStore;
+import org.pimentovale.store.StoredObject;
+import org.pimentovale.store.WriteResult;
 
 /**
  * Claims idempotency keys in the platform's store, so that a request runs at most once through any entry instance.
--- a/daemon/src/main/java/org/pimentovale/daemon/configuration/ConfigurationWatch.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/configuration/ConfigurationWatch.java
@@ -6,13 +6,13 @@
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.pimentovale.daemon.claim.StoreHealth;
-import org.pimentovale.daemon.log.Events;
 import org.pimentovale.daemon.metric.DaemonMetrics;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.kernel.ServingTables;
-import org.pimentovale.platform.ObjectStore;
-import org.pimentovale.platform.StoredObject;
-import org.pimentovale.platform.change.ConfigurationEditor;
+import org.pimentovale.log.Events;
+import org.pimentovale.store.ObjectStore;
+import org.pimentovale.store.StoredObject;
+import org.pimentovale.store.change.ConfigurationEditor;
 import org.pimentovale.table.Configuration;
 
 /**
--- a/daemon/src/main/java/org/pimentovale/daemon/endpoint/EndpointConnections.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/endpoint/EndpointConnections.java
@@ -16,11 +16,11 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.jboss.logging.Logger;
-import org.pimentovale.daemon.log.Events;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.kernel.ServingTables;
 import org.pimentovale.kernel.endpoint.LoadReport;
+import org.pimentovale.log.Events;
 
 /**
  * One worker's connections to endpoints.
--- a/daemon/src/main/java/org/pimentovale/daemon/log/RequestTrace.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/log/RequestTrace.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.pimentovale.log.Events;
 
 /**
  * The latest events of requests, for an operator who follows one of them.
--- a/daemon/src/main/java/org/pimentovale/daemon/operator/OperatorListener.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/operator/OperatorListener.java
@@ -10,7 +10,6 @@
 import org.pimentovale.daemon.caller.Problem;
 import org.pimentovale.daemon.http.AccessKey;
 import org.pimentovale.daemon.http.BodyReader;
-import org.pimentovale.daemon.log.Events;
 import org.pimentovale.daemon.log.RequestTrace;
 import org.pimentovale.daemon.metric.DaemonMetrics;
 import org.pimentovale.error.ErrorCode;
@@ -19,6 +18,7 @@
 import org.pimentovale.kernel.ServingTables;
 import org.pimentovale.kernel.membership.Member;
 import org.pimentovale.kernel.schedule.EndpointView;
+import org.pimentovale.log.Events;
 import org.pimentovale.table.Configuration;
 
 /**
--- a/daemon/src/main/java/org/pimentovale/daemon/peer/PeerExchange.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/peer/PeerExchange.java
@@ -15,12 +15,12 @@
 import org.jboss.logging.Logger;
 import org.pimentovale.daemon.caller.EndpointNews;
 import org.pimentovale.daemon.http.AccessKey;
-import org.pimentovale.daemon.log.Events;
 import org.pimentovale.daemon.metric.DaemonMetrics;
 import org.pimentovale.kernel.ServingTables;
 import org.pimentovale.kernel.endpoint.WarmEndpoint;
 import org.pimentovale.kernel.membership.Member;
 import org.pimentovale.kernel.membership.MemberTable;
+import org.pimentovale.log.Events;
 import org.pimentovale.table.Configuration;
 
 /**
--- a/daemon/src/main/java/org/pimentovale/daemon/peer/PeerListener.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/peer/PeerListener.java
@@ -7,12 +7,12 @@
 import org.jboss.logging.Logger;
 import org.pimentovale.daemon.http.AccessKey;
 import org.pimentovale.daemon.http.BodyReader;
-import org.pimentovale.daemon.log.Events;
 import org.pimentovale.daemon.metric.DaemonMetrics;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.json.Json;
 import org.pimentovale.kernel.ServingTables;
+import org.pimentovale.log.Events;
 
 /**
  * Answers other instances. Invariant: a message without the key, or one that is malformed, changes nothing. Thread
--- a/daemon/src/main/java/org/pimentovale/daemon/suspect/SuspectGuard.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/suspect/SuspectGuard.java
@@ -7,9 +7,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.pimentovale.daemon.claim.StoreHealth;
 import org.pimentovale.kernel.time.MonotonicClock;
-import org.pimentovale.platform.ObjectStore;
-import org.pimentovale.platform.StoredObject;
-import org.pimentovale.platform.WriteResult;
+import org.pimentovale.store.ObjectStore;
+import org.pimentovale.store.StoredObject;
+import org.pimentovale.store.WriteResult;
 
 /**
  * Gives the one system-wide permission to run a suspected request once more, on an endpoint that runs no other suspect.
--- a/daemon/src/main/java/org/pimentovale/daemon/warmup/WarmupLeases.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/warmup/WarmupLeases.java
@@ -10,15 +10,15 @@
 import org.jboss.logging.Logger;
 import org.pimentovale.daemon.caller.FencingTokens;
 import org.pimentovale.daemon.claim.StoreHealth;
-import org.pimentovale.daemon.log.Events;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.json.Json;
 import org.pimentovale.kernel.ServingTables;
 import org.pimentovale.kernel.endpoint.WarmEndpoint;
 import org.pimentovale.kernel.schedule.PoolScheduler;
-import org.pimentovale.platform.ObjectStore;
-import org.pimentovale.platform.StoredObject;
-import org.pimentovale.platform.WriteResult;
+import org.pimentovale.log.Events;
+import org.pimentovale.store.ObjectStore;
+import org.pimentovale.store.StoredObject;
+import org.pimentovale.store.WriteResult;
 
 /**
  * Takes the warm-up leases of cold endpoints for which this instance has work, renews them, and gives them back.
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -0,0 +1,213 @@
+package org.pimentovale.gateway;
+
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.PoolOptions;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.jboss.logging.Logger;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.gateway.caller.CallerListener;
+import org.pimentovale.gateway.caller.GatewayState;
+import org.pimentovale.gateway.caller.RequestServices;
+import org.pimentovale.gateway.endpoint.EndpointClient;
+import org.pimentovale.gateway.feed.StoreFollower;
+import org.pimentovale.gateway.peer.PeerListener;
+import org.pimentovale.gateway.peer.PeerMonitor;
+import org.pimentovale.gateway.peer.PeerTable;
+import org.pimentovale.gateway.port.InstanceRecord;
+import org.pimentovale.gateway.port.ObjectSource;
+import org.pimentovale.gateway.port.ServingPlatform;
+import org.pimentovale.gateway.settings.GatewaySettings;
+import org.pimentovale.gateway.stage.StageCalls;
+import org.pimentovale.gateway.stage.StageClient;
+import org.pimentovale.gateway.stage.StageDispatcher;
+import org.pimentovale.gateway.stage.StageOwnership;
+import org.pimentovale.kernel.serving.ServingConfiguration;
+import org.pimentovale.kernel.serving.ServingService;
+import org.pimentovale.kernel.time.MonotonicClock;
+import org.pimentovale.log.Events;
+import org.pimentovale.store.http.TimedHttpClient;
+
+/**
+ * A gateway: the listeners and duties of one entry instance on a platform whose calls are plain HTTP requests that pass
+ * through unchanged.
+ *
+ * <p>Invariant: everything runs on one event loop, so that its tables need no locks. Thread safe after construction.
+ */
+public final class Gateway {
+    private static final Logger LOG = Logger.getLogger(Gateway.class);
+    private static final int CONNECT_TIMEOUT_MS = 250;
+    private static final int MOST_CONNECTIONS_PER_HOST = 400;
+    private static final int STORE_CONNECTIONS = 16;
+    private static final int PEER_IDLE_SECONDS = 20;
+    private static final int MOST_HEADER_BYTES = 64 * 1_024;
+    private static final int ACCEPT_BACKLOG = 1_024;
+    private static final int ANNOUNCE_RETRY_MS = 700;
+    private static final int DRAIN_CHECK_MS = 50;
+    private static final int BALANCER_LAG_MS = 2_600;
+    private static final int EXIT_RESERVE_MS = 700;
+    private static final int STATUS_UNAVAILABLE = 503;
+
+    private final Vertx vertx;
+    private final GatewaySettings settings;
+    private final GatewayTables tables;
+    private final GatewayState state = new GatewayState();
+    private final ServingPlatform platform;
+    private final ObjectSource source;
+    private final InstanceRecord self;
+    private final StageOwnership ownership;
+    private final StageClient stageClient;
+    private final StoreFollower follower;
+    private final PeerMonitor monitor;
+    private final CallerListener callers;
+    private final PeerListener peerListener;
+
+    /**
+     * Creates a gateway that does not run yet.
+     *
+     * @param vertx runs everything, with one event loop
+     * @param settings the validated settings
+     * @param platform speaks the platform's language
+     * @param clock the time
+     * @param random spreads tries
+     */
+    public Gateway(
+            Vertx vertx,
+            GatewaySettings settings,
+            ServingPlatform platform,
+            MonotonicClock clock,
+            RandomGenerator random) {
+        this.vertx = vertx;
+        this.settings = settings;
+        this.platform = platform;
+        this.self = new InstanceRecord(settings.name(), settings.peers(), settings.zone());
+        this.tables = new GatewayTables(clock, new PeerTable(self), settings.retry());
+        this.source =
+                platform.objects(timed(true, STORE_CONNECTIONS, ErrorCode.STORE_UNAVAILABLE), settings.storeAddress());
+        TimedHttpClient endpointCalls = timed(false, MOST_CONNECTIONS_PER_HOST, ErrorCode.CONNECTION_LOST);
+        TimedHttpClient peerCalls = timed(true, MOST_CONNECTIONS_PER_HOST, ErrorCode.PEER_UNAVAILABLE);
+        StageCalls stageCalls = new StageCalls(vertx, endpointCalls, tables, platform.stages(), platform.endpoints());
+        this.ownership = new StageOwnership(service -> new StageDispatcher(vertx, tables, stageCalls, service));
+        this.stageClient = new StageClient(tables, peerCalls, ownership);
+        this.follower = new StoreFollower(vertx, source, platform.reader(), tables, random, ownership::pumpAll);
+        this.monitor = new PeerMonitor(vertx, tables, peerCalls, this::stageServices, stageClient::peerLost);
+        EndpointClient endpoints =
+                new EndpointClient(vertx.createHttpClient(clientOptions(false), pool(MOST_CONNECTIONS_PER_HOST)));
+        RequestServices services = new RequestServices(vertx, endpoints, platform.endpoints(), stageClient);
+        this.callers = new CallerListener(tables, state, platform.callers(), services);
+        this.peerListener = new PeerListener(tables, ownership, state::leaving);
+    }
+
+    private TimedHttpClient timed(boolean keepConnections, int connections, ErrorCode failureCode) {
+        return new TimedHttpClient(
+                vertx, vertx.createHttpClient(clientOptions(keepConnections), pool(connections)), failureCode);
+    }
+
+    private static HttpClientOptions clientOptions(boolean keepConnections) {
+        return new HttpClientOptions()
+                .setConnectTimeout(CONNECT_TIMEOUT_MS)
+                .setKeepAlive(keepConnections)
+                .setKeepAliveTimeout(PEER_IDLE_SECONDS)
+                .setTcpNoDelay(true);
+    }
+
+    private static PoolOptions pool(int connections) {
+        return new PoolOptions().setHttp1MaxSize(connections);
+    }
+
+    private List<String> stageServices() {
+        List<String> names = new ArrayList<>();
+        tables.configuration().map(ServingConfiguration::services).ifPresent(services -> services.stream()
+                .filter(service -> service.pieces().isPresent())
+                .map(ServingService::name)
+                .forEach(names::add));
+        return names;
+    }
+
+    /**
+     * Opens the listeners and takes up the duties.
+     *
+     * @return completes once the listeners are open
+     */
+    public Future<Void> start() {
+        return listen(settings.readiness(), this::answerReadiness)
+                .compose(done -> listen(settings.peers(), peerListener::handle))
+                .compose(done -> listen(settings.callers(), callers::handle))
+                .onSuccess(done -> {
+                    follower.start();
+                    monitor.start();
+                    announce();
+                    Events.info(LOG, "gateway_started", "name", settings.name(), "zone", settings.zone());
+                });
+    }
+
+    private Future<Void> listen(String address, Handler<HttpServerRequest> handler) {
+        int colon = address.lastIndexOf(':');
+        HttpServerOptions options = new HttpServerOptions()
+                .setHost(address.substring(0, colon))
+                .setPort(Integer.parseInt(address.substring(colon + 1)))
+                .setMaxHeaderSize(MOST_HEADER_BYTES)
+                .setMaxInitialLineLength(MOST_HEADER_BYTES)
+                .setHandle100ContinueAutomatically(true)
+                .setAcceptBacklog(ACCEPT_BACKLOG)
+                .setTcpNoDelay(true);
+        return vertx.createHttpServer(options)
+                .requestHandler(handler)
+                .listen()
+                .map(HttpServer::actualPort)
+                .mapEmpty();
+    }
+
+    private void answerReadiness(HttpServerRequest http) {
+        boolean ready = http.path().equals(platform.callers().readinessPath()) && tables.ready() && !state.leaving();
+        http.response().setStatusCode(ready ? 200 : STATUS_UNAVAILABLE).end();
+    }
+
+    private void announce() {
+        if (state.leaving()) {
+            return;
+        }
+        source.announce(self).onFailure(failure -> {
+            Events.warn(LOG, "announce_failed", "failure", failure.getMessage());
+            vertx.setTimer(ANNOUNCE_RETRY_MS, fired -> announce());
+        });
+    }
+
+    /**
+     * Leaves service without cutting a request: not ready first, then serving what still comes, then waiting for what
+     * runs.
+     *
+     * @return completes once nothing runs or the longest time is over
+     */
+    public Future<Void> drain() {
+        Promise<Void> drained = Promise.promise();
+        vertx.runOnContext(run -> {
+            state.leave();
+            long startedMs = tables.nowMs();
+            Events.info(LOG, "drain_started", "running", state.running(), "tickets", ownership.openTickets());
+            source.withdraw(self.name())
+                    .onFailure(failure -> Events.warn(LOG, "withdraw_failed", "failure", failure.getMessage()));
+            vertx.setPeriodic(DRAIN_CHECK_MS, timer -> checkDrained(timer, startedMs, drained));
+        });
+        return drained.future();
+    }
+
+    private void checkDrained(long timer, long startedMs, Promise<Void> drained) {
+        long elapsedMs = tables.nowMs() - startedMs;
+        boolean idle = state.running() == 0 && ownership.openTickets() == 0 && elapsedMs >= BALANCER_LAG_MS;
+        if (idle || elapsedMs >= settings.shutdownMs() - EXIT_RESERVE_MS) {
+            vertx.cancelTimer(timer);
+            Events.info(LOG, "drain_ended", "running", state.running(), "elapsed_ms", elapsedMs);
+            follower.stop();
+            drained.tryComplete();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/GatewayDaemon.java
@@ -0,0 +1,98 @@
+package org.pimentovale.gateway;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+import org.pimentovale.gateway.port.ServingPlatform;
+import org.pimentovale.gateway.settings.GatewaySettings;
+import org.pimentovale.gateway.settings.GatewaySettingsReader;
+import org.pimentovale.log.Events;
+import org.pimentovale.log.LoggingSetup;
+import org.pimentovale.plugin.PluginRegistry;
+
+/** The gateway's program. Exit codes: 0 after a shutdown, 1 where it cannot start, 2 for unusable arguments. */
+public final class GatewayDaemon {
+    private static final Logger LOG = Logger.getLogger(GatewayDaemon.class);
+
+    @Option(name = "--settings", required = true, metaVar = "FILE", usage = "the settings, in TOML")
+    private String settingsFile;
+
+    @Option(name = "--check", usage = "check the settings and exit")
+    private boolean checkOnly;
+
+    private GatewayDaemon() {}
+
+    /**
+     * Runs the gateway until it is told to stop.
+     *
+     * @param arguments the command line
+     */
+    public static void main(String[] arguments) {
+        GatewayDaemon daemon = new GatewayDaemon();
+        CmdLineParser parser = new CmdLineParser(daemon);
+        try {
+            parser.parseArgument(arguments);
+        } catch (CmdLineException failure) {
+            System.err.println(failure.getMessage());
+            parser.printUsage(System.err);
+            System.exit(2);
+        }
+        try {
+            daemon.run();
+        } catch (ServingException failure) {
+            System.err.println(failure.getMessage());
+            System.exit(1);
+        }
+    }
+
+    private void run() {
+        GatewaySettings settings = new GatewaySettingsReader().read(settingsFile, readSettings());
+        if (checkOnly) {
+            System.out.println("settings are valid");
+            return;
+        }
+        LoggingSetup.install(settings.logLevel());
+        // One event loop: a small instance has less than one core, and its tables then need no locks.
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+        ServingPlatform platform = new PluginRegistry<>(ServingPlatform.class).get(settings.platform());
+        Gateway gateway = new Gateway(
+                vertx, settings, platform, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), new Random());
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(gateway, settings), "shutdown"));
+        vertx.runOnContext(run -> gateway.start().onFailure(failure -> {
+            System.err.println("cannot start: " + failure.getMessage());
+            Runtime.getRuntime().halt(1);
+        }));
+    }
+
+    private String readSettings() {
+        try {
+            return Files.readString(Path.of(settingsFile));
+        } catch (IOException failure) {
+            throw ServingException.notRun(ErrorCode.SETTINGS_INVALID, settingsFile + ": " + failure);
+        }
+    }
+
+    private static void shutDown(Gateway gateway, GatewaySettings settings) {
+        CountDownLatch drained = new CountDownLatch(1);
+        gateway.drain().onComplete(done -> drained.countDown());
+        try {
+            if (!drained.await(settings.shutdownMs(), TimeUnit.MILLISECONDS)) {
+                Events.warn(LOG, "drain_incomplete", "longest_ms", settings.shutdownMs());
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            Events.warn(LOG, "drain_interrupted");
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
@@ -0,0 +1,150 @@
+package org.pimentovale.gateway;
+
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.pimentovale.gateway.peer.PeerTable;
+import org.pimentovale.gateway.port.ObjectKind;
+import org.pimentovale.gateway.settings.GatewaySettings.RetryBounds;
+import org.pimentovale.kernel.directory.EndpointDirectory;
+import org.pimentovale.kernel.endpoint.ColdShare;
+import org.pimentovale.kernel.retry.WindowedRetryBudget;
+import org.pimentovale.kernel.serving.ServingConfiguration;
+import org.pimentovale.kernel.time.MonotonicClock;
+
+/**
+ * What a gateway knows: the configuration in force, endpoints, peers, and its part of shared limits.
+ *
+ * <p>Invariant: the configuration's revision never falls. Not thread safe; used on one event loop, so that no table needs
+ * a lock.
+ */
+public final class GatewayTables {
+    private final MonotonicClock clock;
+    private final EndpointDirectory endpoints = new EndpointDirectory();
+    private final PeerTable peers;
+    private final ColdShare coldShare;
+    private final RetryBounds retryBounds;
+    private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
+    private Optional<ServingConfiguration> configuration = Optional.empty();
+    private long configurationRevision = -1;
+    private final Set<ObjectKind> listed = EnumSet.noneOf(ObjectKind.class);
+
+    /**
+     * Creates tables that know nothing yet.
+     *
+     * @param clock the time
+     * @param peers the gateways
+     * @param retryBounds bounds of repeats
+     */
+    public GatewayTables(MonotonicClock clock, PeerTable peers, RetryBounds retryBounds) {
+        this.clock = clock;
+        this.peers = peers;
+        this.retryBounds = retryBounds;
+        this.coldShare = new ColdShare(peers.self().name());
+    }
+
+    /**
+     * Returns the time.
+     *
+     * @return milliseconds of the monotonic clock
+     */
+    public long nowMs() {
+        return clock.nowMs();
+    }
+
+    /**
+     * Puts a configuration in force unless a newer one is.
+     *
+     * @param next the configuration
+     * @param revision the store's revision of it
+     * @return whether it is in force now
+     */
+    public boolean offer(ServingConfiguration next, long revision) {
+        if (revision <= configurationRevision) {
+            return false;
+        }
+        configurationRevision = revision;
+        configuration = Optional.of(next);
+        return true;
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the configuration, or empty before the first
+     */
+    public Optional<ServingConfiguration> configuration() {
+        return configuration;
+    }
+
+    /**
+     * Returns the endpoints.
+     *
+     * @return the directory
+     */
+    public EndpointDirectory endpoints() {
+        return endpoints;
+    }
+
+    /**
+     * Records that all objects of a kind are known.
+     *
+     * @param kind the kind
+     */
+    public void markListed(ObjectKind kind) {
+        listed.add(kind);
+    }
+
+    /**
+     * Tells whether requests can be served.
+     *
+     * @return whether the configuration, the endpoints and the withdrawn zones are known
+     */
+    public boolean ready() {
+        return configuration.isPresent()
+                && listed.contains(ObjectKind.ENDPOINTS)
+                && listed.contains(ObjectKind.WITHDRAWN_ZONES);
+    }
+
+    /**
+     * Returns the gateways.
+     *
+     * @return the table
+     */
+    public PeerTable peers() {
+        return peers;
+    }
+
+    /**
+     * Returns this gateway's parts of what cold endpoints bear.
+     *
+     * @return the shares
+     */
+    public ColdShare coldShare() {
+        return coldShare;
+    }
+
+    /**
+     * Returns this gateway's part of a service's repeats.
+     *
+     * @param service the service's name
+     * @return the budget
+     */
+    public WindowedRetryBudget retryBudget(String service) {
+        return retryBudgets.computeIfAbsent(
+                service,
+                unused -> new WindowedRetryBudget(retryBounds.ratio(), retryBounds.slack(), retryBounds.windowMs()));
+    }
+
+    /**
+     * Takes one repeat for a service.
+     *
+     * @param service the service's name
+     * @return whether there was one
+     */
+    public boolean tryTakeRepeat(String service) {
+        return retryBudget(service).tryTake(peers.names().size(), nowMs());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/CallerListener.java
@@ -0,0 +1,131 @@
+package org.pimentovale.gateway.caller;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+import org.pimentovale.gateway.GatewayTables;
+import org.pimentovale.gateway.port.CallerAttempt;
+import org.pimentovale.gateway.port.CallerDialect;
+import org.pimentovale.kernel.membership.RendezvousHash;
+import org.pimentovale.kernel.serving.RequestRouting;
+import org.pimentovale.kernel.serving.RequestRouting.RoutedRequest;
+import org.pimentovale.kernel.serving.ServingConfiguration;
+import org.pimentovale.log.Events;
+
+/** Takes the callers' requests, reads them whole and starts their runs. Not thread safe; used on one event loop. */
+public final class CallerListener {
+    private static final Logger LOG = Logger.getLogger(CallerListener.class);
+    private static final long NOT_READY_RETRY_MS = 300;
+    private static final String SPLIT_DUTY = "split";
+
+    private final GatewayTables tables;
+    private final GatewayState state;
+    private final CallerDialect dialect;
+    private final RequestServices services;
+
+    /**
+     * Creates a listener.
+     *
+     * @param tables what the gateway knows
+     * @param state counts requests
+     * @param dialect decodes requests
+     * @param services what runs need
+     */
+    public CallerListener(GatewayTables tables, GatewayState state, CallerDialect dialect, RequestServices services) {
+        this.tables = tables;
+        this.state = state;
+        this.dialect = dialect;
+        this.services = services;
+    }
+
+    /**
+     * Takes a request.
+     *
+     * @param http the request, of which the head is there
+     */
+    public void handle(HttpServerRequest http) {
+        long arrivedMs = tables.nowMs();
+        CallerAnswer answer = new CallerAnswer(http, state::leaving);
+        try {
+            ServingConfiguration configuration = configurationInForce();
+            CallerAttempt attempt = dialect.read(http.headers());
+            RoutedRequest routed = RequestRouting.route(
+                    configuration,
+                    http.authority() == null ? "" : http.authority().toString(),
+                    path(http.uri()),
+                    attempt.key(),
+                    RendezvousHash.weight(SPLIT_DUTY, attempt.identifier()));
+            readBody(http, answer, attempt, routed, configuration.limits().bodyBytes(), arrivedMs);
+        } catch (ServingException failure) {
+            refuse(http, answer, failure);
+        }
+    }
+
+    private ServingConfiguration configurationInForce() {
+        Optional<ServingConfiguration> configuration = tables.configuration();
+        if (configuration.isEmpty() || !tables.ready()) {
+            throw ServingException.notRun(ErrorCode.NOT_CONFIGURED, "the store has not been read yet");
+        }
+        return configuration.get();
+    }
+
+    private static String path(String uri) {
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+
+    private void refuse(HttpServerRequest http, CallerAnswer answer, ServingException failure) {
+        int status = answer.failure(failure, NOT_READY_RETRY_MS);
+        Events.info(
+                LOG,
+                "request_refused",
+                "uri",
+                http.uri(),
+                "host",
+                http.authority(),
+                "status",
+                status,
+                "reason",
+                failure.getMessage(),
+                "version",
+                tables.configuration().map(ServingConfiguration::version).orElse(-1L));
+    }
+
+    private void readBody(
+            HttpServerRequest http,
+            CallerAnswer answer,
+            CallerAttempt attempt,
+            RoutedRequest routed,
+            long mostBytes,
+            long arrivedMs) {
+        Buffer body = Buffer.buffer();
+        state.begin();
+        long patienceMs = attempt.patienceMs().orElse(routed.route().timeoutMs());
+        CallerRequest request = new CallerRequest(
+                attempt,
+                http.method(),
+                http.uri(),
+                http.headers(),
+                hasBody(http) ? Optional.of(body) : Optional.empty(),
+                routed,
+                arrivedMs,
+                arrivedMs + Math.min(patienceMs, routed.route().timeoutMs()));
+        RequestRun run = new RequestRun(request, answer, tables, services, state::end);
+        http.response().closeHandler(closed -> run.callerLeft());
+        http.handler(part -> {
+            if (body.length() + part.length() > mostBytes) {
+                run.refuse(ServingException.notRun(ErrorCode.BODY_TOO_LARGE, "more than " + mostBytes + " bytes"));
+            } else {
+                body.appendBuffer(part);
+            }
+        });
+        http.endHandler(ended -> run.start());
+    }
+
+    private static boolean hasBody(HttpServerRequest http) {
+        return http.headers().contains("Content-Length") || http.headers().contains("Transfer-Encoding");
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestServices.java
@@ -0,0 +1,16 @@
+package org.pimentovale.gateway.caller;
+
+import io.vertx.core.Vertx;
+import org.pimentovale.gateway.endpoint.EndpointClient;
+import org.pimentovale.gateway.port.EndpointDialect;
+import org.pimentovale.gateway.stage.StageClient;
+
+/**
+ * What every run of a request needs.
+ *
+ * @param vertx runs timers
+ * @param endpoints sends requests to endpoints
+ * @param dialect what endpoints speak
+ * @param stages has stages done
+ */
+public record RequestServices(Vertx vertx, EndpointClient endpoints, EndpointDialect dialect, StageClient stages) {}
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/StagePhase.java
@@ -0,0 +1,131 @@
+package org.pimentovale.gateway.caller;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import org.pimentovale.gateway.GatewayTables;
+import org.pimentovale.gateway.stage.StageClient;
+import org.pimentovale.kernel.batch.StageGraph;
+import org.pimentovale.kernel.batch.StageWork;
+import org.pimentovale.kernel.serving.PieceLimits;
+import org.pimentovale.kernel.serving.RouteStage;
+import org.pimentovale.kernel.serving.ServingService;
+import org.pimentovale.log.Events;
+
+/**
+ * Has the stages of one request done, in the order that they need.
+ *
+ * <p>Invariant: results are released once nothing needs them, and all of them at the end. Not thread safe; used on one
+ * event loop.
+ */
+final class StagePhase {
+    private static final Logger LOG = Logger.getLogger(StagePhase.class);
+    private static final long ENGINE_RESERVE_MS = 150;
+
+    private final CallerRequest request;
+    private final GatewayTables tables;
+    private final StageClient stages;
+    private final StageGraph graph;
+    private final List<StageClient.StageRun> running = new ArrayList<>();
+    private final Promise<List<String>> inputs = Promise.promise();
+
+    StagePhase(CallerRequest request, GatewayTables tables, StageClient stages) {
+        this.request = request;
+        this.tables = tables;
+        this.stages = stages;
+        this.graph = new StageGraph(request.routed().route(), request.attempt().pieceCounts());
+    }
+
+    /**
+     * Starts the stages.
+     *
+     * @return the results that the request itself takes
+     */
+    Future<List<String>> start() {
+        advance();
+        return inputs.future();
+    }
+
+    private void advance() {
+        if (graph.finished()) {
+            inputs.tryComplete(graph.requestInputs());
+            return;
+        }
+        graph.startReady().forEach(this::startStage);
+    }
+
+    private void startStage(RouteStage stage) {
+        long nowMs = tables.nowMs();
+        StageWork work = new StageWork(
+                request.attempt().identifier(),
+                stage.service(),
+                stage.number(),
+                graph.pieces(stage),
+                stage.after().isEmpty() ? request.attempt().pieceKey() : Optional.empty(),
+                graph.inputs(stage),
+                stage.resultBytes(),
+                Math.max(0, request.goalMs() - nowMs - ENGINE_RESERVE_MS - followersMs(stage)),
+                request.deadlineMs() - nowMs,
+                request.routed().priority(),
+                Optional.empty());
+        StageClient.StageRun run = stages.run(work);
+        running.add(run);
+        run.results().onComplete(result -> {
+            running.remove(run);
+            if (result.succeeded()) {
+                graph.finish(stage, result.result());
+                Events.info(
+                        LOG,
+                        "stage_done",
+                        "request",
+                        request.attempt().identifier(),
+                        "stage",
+                        stage.number(),
+                        "service",
+                        stage.service(),
+                        "pieces",
+                        work.pieces(),
+                        "elapsed_ms",
+                        tables.nowMs() - nowMs);
+                release(inputs.future().isComplete());
+                advance();
+            } else if (inputs.tryFail(result.cause())) {
+                end();
+            }
+        });
+    }
+
+    /** Time that the stages after this one will need at least. */
+    private long followersMs(RouteStage stage) {
+        double longest = 0;
+        for (RouteStage follower : request.routed().route().stages()) {
+            if (follower.after().contains(stage.number()) && graph.pieces(follower) > 0) {
+                double duration = tables.configuration()
+                        .flatMap(configuration -> configuration.service(follower.service()))
+                        .flatMap(ServingService::pieces)
+                        .map(limits -> typicalMs(limits))
+                        .orElse(0.0);
+                longest = Math.max(longest, duration + followersMs(follower));
+            }
+        }
+        return (long) longest;
+    }
+
+    private static double typicalMs(PieceLimits limits) {
+        return limits.durationMs(limits.piecesPerCall());
+    }
+
+    /** Ends the phase: cancels what runs and releases all results. */
+    void end() {
+        inputs.tryFail(new IllegalStateException("ended"));
+        List.copyOf(running).forEach(StageClient.StageRun::cancel);
+        release(true);
+    }
+
+    private void release(boolean all) {
+        graph.releasable(all).forEach((stage, handles) -> stages.release(stage.service(), handles));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/endpoint/EndpointClient.java
@@ -0,0 +1,103 @@
+package org.pimentovale.gateway.endpoint;
+
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.util.Optional;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+
+/**
+ * Sends requests to endpoints, each over a connection of its own.
+ *
+ * <p>A connection that serves one request cannot be silent from before, cannot be closed under the request by an idle
+ * time-out, and no bytes of another answer can follow on it. Invariant: a connection is closed when its request ends,
+ * however that is. Thread safe.
+ */
+public final class EndpointClient {
+    private final HttpClient client;
+
+    /** A request that is under way. Not thread safe; used on one event loop. */
+    public static final class Sending {
+        private final Promise<HttpClientResponse> head = Promise.promise();
+        private Optional<HttpClientRequest> request = Optional.empty();
+
+        /**
+         * Returns the head of the answer; its body is paused.
+         *
+         * @return the head; fails with {@link ErrorCode#CONNECT_FAILED} where nothing was sent, otherwise with {@link
+         *     ErrorCode#CONNECTION_LOST}
+         */
+        public Future<HttpClientResponse> head() {
+            return head.future();
+        }
+
+        /** Ends the request by closing its connection, so that the endpoint stops working on it. */
+        public void cancel() {
+            head.tryFail(ServingException.unknown(ErrorCode.CALLER_LEFT, "cancelled"));
+            request.ifPresent(HttpClientRequest::reset);
+        }
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param client makes connections that are not kept
+     */
+    public EndpointClient(HttpClient client) {
+        this.client = client;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param address host and port
+     * @param method the method
+     * @param uri path and query
+     * @param headers the headers
+     * @param body the body, empty for none
+     * @return the request under way
+     */
+    public Sending send(String address, HttpMethod method, String uri, MultiMap headers, Optional<Buffer> body) {
+        Sending sending = new Sending();
+        int colon = address.lastIndexOf(':');
+        RequestOptions options = new RequestOptions()
+                .setMethod(method)
+                .setHost(address.substring(0, colon))
+                .setPort(Integer.parseInt(address.substring(colon + 1)))
+                .setURI(uri)
+                .setHeaders(headers);
+        client.request(options)
+                .onFailure(failure -> sending.head.tryFail(
+                        ServingException.notRun(ErrorCode.CONNECT_FAILED, address + ": " + failure.getMessage())))
+                .onSuccess(request -> write(request, body, sending));
+        return sending;
+    }
+
+    private static void write(HttpClientRequest request, Optional<Buffer> body, Sending sending) {
+        if (sending.head.future().isComplete()) {
+            request.reset();
+            return;
+        }
+        sending.request = Optional.of(request);
+        request.response().onComplete(result -> {
+            if (result.failed()) {
+                sending.head.tryFail(ServingException.unknown(
+                        ErrorCode.CONNECTION_LOST, String.valueOf(result.cause().getMessage())));
+            } else if (!sending.head.tryComplete(result.result().pause())) {
+                request.reset();
+            }
+        });
+        if (body.isPresent()) {
+            request.end(body.get());
+        } else {
+            request.end();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerTable.java
@@ -0,0 +1,144 @@
+package org.pimentovale.gateway.peer;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.pimentovale.gateway.port.InstanceRecord;
+import org.pimentovale.kernel.membership.RendezvousHash;
+
+/**
+ * The gateways, and which of them answer.
+ *
+ * <p>Each service's queue belongs to the gateway that rendezvous hashing puts first among those that answer. Lists and
+ * beliefs differ between gateways for moments; two owners at once fill their calls less well and do no harm otherwise.
+ * Invariant: this gateway is always among the live ones. Not thread safe; used on one event loop.
+ */
+public final class PeerTable {
+    private final InstanceRecord self;
+    private final Map<String, InstanceRecord> peers = new HashMap<>();
+    private final Map<String, Long> silentSinceMs = new HashMap<>();
+
+    /**
+     * Creates a table that knows this gateway alone.
+     *
+     * @param self this gateway
+     */
+    public PeerTable(InstanceRecord self) {
+        this.self = self;
+    }
+
+    /**
+     * Returns this gateway.
+     *
+     * @return its record
+     */
+    public InstanceRecord self() {
+        return self;
+    }
+
+    /**
+     * Takes a whole list.
+     *
+     * @param records all gateways
+     */
+    public void replaceAll(Collection<InstanceRecord> records) {
+        peers.clear();
+        records.forEach(this::put);
+        silentSinceMs.keySet().retainAll(peers.keySet());
+    }
+
+    /**
+     * Takes one gateway.
+     *
+     * @param changed its record as it is now
+     */
+    public void put(InstanceRecord changed) {
+        if (changed.name().equals(self.name())) {
+            return;
+        }
+        InstanceRecord before = peers.put(changed.name(), changed);
+        if (before != null && !before.address().equals(changed.address())) {
+            silentSinceMs.remove(changed.name());
+        }
+    }
+
+    /**
+     * Forgets a gateway.
+     *
+     * @param name its name
+     */
+    public void remove(String name) {
+        peers.remove(name);
+        silentSinceMs.remove(name);
+    }
+
+    /**
+     * Records that a gateway gave no answer or is leaving.
+     *
+     * @param name its name
+     * @param nowMs the time in milliseconds
+     * @return whether that is news
+     */
+    public boolean recordSilence(String name, long nowMs) {
+        return peers.containsKey(name) && silentSinceMs.putIfAbsent(name, nowMs) == null;
+    }
+
+    /**
+     * Records that a gateway answered.
+     *
+     * @param name its name
+     * @return whether that is news
+     */
+    public boolean recordAnswer(String name) {
+        return silentSinceMs.remove(name) != null;
+    }
+
+    /**
+     * Tells whether a gateway is believed to answer.
+     *
+     * @param name its name
+     * @return whether it is
+     */
+    public boolean answers(String name) {
+        return name.equals(self.name()) || (peers.containsKey(name) && !silentSinceMs.containsKey(name));
+    }
+
+    /**
+     * Returns all other gateways, whether they answer or not.
+     *
+     * @return their records
+     */
+    public List<InstanceRecord> others() {
+        return List.copyOf(peers.values());
+    }
+
+    /**
+     * Returns the names of all gateways that may live, this one included.
+     *
+     * @return the names
+     */
+    public List<String> names() {
+        List<String> names = new ArrayList<>(peers.keySet());
+        names.add(self.name());
+        return names;
+    }
+
+    /**
+     * Returns the owner of a duty.
+     *
+     * @param duty names the duty
+     * @return the gateway, empty where it is this one
+     */
+    public Optional<InstanceRecord> owner(String duty) {
+        InstanceRecord first = peers.values().stream()
+                .filter(peer -> answers(peer.name()))
+                .max(Comparator.comparingLong(peer -> RendezvousHash.weight(duty, peer.name())))
+                .orElse(self);
+        boolean mine = RendezvousHash.weight(duty, self.name()) >= RendezvousHash.weight(duty, first.name());
+        return mine ? Optional.empty() : Optional.of(first);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/settings/GatewaySettingsReader.java
@@ -0,0 +1,75 @@
+package org.pimentovale.gateway.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+import org.pimentovale.gateway.settings.GatewaySettings.RetryBounds;
+import org.pimentovale.toml.TomlProblem;
+import org.pimentovale.toml.TomlSection;
+
+/** Reads the settings of a gateway and reports all problems at once. Stateless and thread safe. */
+public final class GatewaySettingsReader {
+    private static final double DEFAULT_SHUTDOWN_SECONDS = 8;
+    private static final double LONGEST_SHUTDOWN_SECONDS = 3_600;
+    private static final double DEFAULT_RETRY_RATIO = 0.1;
+    private static final double DEFAULT_RETRY_SLACK = 10;
+    private static final double DEFAULT_RETRY_WINDOW_SECONDS = 10;
+    private static final double LARGEST_SLACK = 1e6;
+    private static final long MS_PER_SECOND = 1_000;
+
+    /**
+     * Reads settings.
+     *
+     * @param file the file's name, for messages
+     * @param text the TOML text
+     * @return the settings
+     * @throws ServingException with {@link ErrorCode#SETTINGS_INVALID}, naming every problem
+     */
+    public GatewaySettings read(String file, String text) {
+        List<TomlProblem> problems = new ArrayList<>();
+        GatewaySettings settings = read(TomlSection.parse(file, text, problems));
+        if (!problems.isEmpty()) {
+            throw ServingException.notRun(
+                    ErrorCode.SETTINGS_INVALID,
+                    problems.stream().map(TomlProblem::toString).collect(Collectors.joining("\n")));
+        }
+        return settings;
+    }
+
+    private GatewaySettings read(TomlSection root) {
+        try (root) {
+            return new GatewaySettings(
+                    root.text("name"),
+                    root.text("zone"),
+                    root.text("platform"),
+                    address(root, "store"),
+                    address(root, "callers"),
+                    address(root, "readiness"),
+                    address(root, "peers"),
+                    (int) (MS_PER_SECOND
+                            * root.decimal("shutdown_s", DEFAULT_SHUTDOWN_SECONDS, 1, LONGEST_SHUTDOWN_SECONDS)),
+                    retryBounds(root.section("retry")),
+                    root.optionalText("log_level").orElse("INFO"));
+        }
+    }
+
+    private static String address(TomlSection root, String key) {
+        String address = root.text(key);
+        if (!address.isEmpty() && !address.matches("[^:]+:[0-9]{1,5}")) {
+            root.report(key, address, "host:port");
+        }
+        return address;
+    }
+
+    private static RetryBounds retryBounds(TomlSection retry) {
+        try (retry) {
+            return new RetryBounds(
+                    retry.decimal("ratio", DEFAULT_RETRY_RATIO, 0, 1),
+                    retry.decimal("slack", DEFAULT_RETRY_SLACK, 0, LARGEST_SLACK),
+                    (long) (MS_PER_SECOND
+                            * retry.decimal("window_s", DEFAULT_RETRY_WINDOW_SECONDS, 1, LONGEST_SHUTDOWN_SECONDS)));
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageCalls.java
@@ -0,0 +1,150 @@
+package org.pimentovale.gateway.stage;
+
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+import org.pimentovale.gateway.GatewayTables;
+import org.pimentovale.gateway.port.EndpointDialect;
+import org.pimentovale.gateway.port.PieceOrder;
+import org.pimentovale.gateway.port.PieceResult;
+import org.pimentovale.gateway.port.StageDialect;
+import org.pimentovale.kernel.batch.QueuedPiece;
+import org.pimentovale.kernel.directory.EndpointRecord;
+import org.pimentovale.log.Events;
+import org.pimentovale.store.http.HttpAnswer;
+import org.pimentovale.store.http.HttpExchange;
+import org.pimentovale.store.http.TimedHttpClient;
+
+/** Makes the calls to endpoints that work on pieces. Not thread safe; used on one event loop. */
+public final class StageCalls {
+    private static final Logger LOG = Logger.getLogger(StageCalls.class);
+    private static final double TIMEOUT_FACTOR = 2.5;
+    private static final int TIMEOUT_SLACK_MS = 200;
+    private static final int RELEASE_TIMEOUT_MS = 500;
+    private static final int RELEASE_DELAY_MS = 20;
+    private static final int STATUS_OK = 200;
+
+    private final Vertx vertx;
+    private final TimedHttpClient client;
+    private final GatewayTables tables;
+    private final StageDialect dialect;
+    private final EndpointDialect endpointDialect;
+    private final Map<String, List<String>> releases = new LinkedHashMap<>();
+
+    /**
+     * Creates calls.
+     *
+     * @param vertx runs timers
+     * @param client makes connections
+     * @param tables tells the time and the endpoints
+     * @param dialect encodes pieces
+     * @param endpointDialect decodes heads of answers
+     */
+    public StageCalls(
+            Vertx vertx,
+            TimedHttpClient client,
+            GatewayTables tables,
+            StageDialect dialect,
+            EndpointDialect endpointDialect) {
+        this.vertx = vertx;
+        this.client = client;
+        this.tables = tables;
+        this.dialect = dialect;
+        this.endpointDialect = endpointDialect;
+    }
+
+    /**
+     * Runs pieces.
+     *
+     * @param endpoint where
+     * @param pieces the pieces
+     * @param expectedMs how long the call should take
+     * @return one result a piece; fails with {@link ErrorCode#OVERLOADED} where the endpoint did not take the call
+     */
+    public Future<List<PieceResult>> run(EndpointRecord endpoint, List<QueuedPiece> pieces, double expectedMs) {
+        List<PieceOrder> orders = pieces.stream().map(this::order).toList();
+        int timeoutMs = (int) (expectedMs * TIMEOUT_FACTOR) + TIMEOUT_SLACK_MS;
+        return post(
+                        endpoint.address(),
+                        dialect.runPath(),
+                        dialect.headers(endpoint.identifier()),
+                        dialect.encodePieces(orders),
+                        timeoutMs)
+                .map(answer -> {
+                    if (answer.status() != STATUS_OK) {
+                        throw refused(answer);
+                    }
+                    return dialect.decodeResults(answer.body(), pieces.size());
+                });
+    }
+
+    private PieceOrder order(QueuedPiece piece) {
+        return new PieceOrder(piece, Math.max(1, piece.ticket().deadlineMs() - tables.nowMs()));
+    }
+
+    private ServingException refused(HttpAnswer answer) {
+        boolean full = answer.status() == 503
+                && endpointDialect.readHead(answer.status(), answer.headers()).notRun();
+        return ServingException.notRun(
+                full ? ErrorCode.OVERLOADED : ErrorCode.ENDPOINT_FAILED, "status " + answer.status());
+    }
+
+    /**
+     * Releases results shortly afterwards, together with others of the same endpoint.
+     *
+     * @param handles the results
+     */
+    public void release(List<String> handles) {
+        for (String handle : handles) {
+            String address = dialect.addressOf(handle);
+            List<String> sameEndpoint = releases.get(address);
+            if (sameEndpoint == null) {
+                sameEndpoint = new ArrayList<>();
+                releases.put(address, sameEndpoint);
+                vertx.setTimer(RELEASE_DELAY_MS, fired -> sendReleases(address));
+            }
+            sameEndpoint.add(handle);
+        }
+    }
+
+    private void sendReleases(String address) {
+        List<String> handles = releases.remove(address);
+        // An address may belong to another endpoint by now; only one that is still listed is told.
+        Optional<EndpointRecord> owner = tables.endpoints().all().stream()
+                .map(endpoint -> endpoint.latest())
+                .filter(latest -> latest.address().equals(address))
+                .findFirst();
+        if (owner.isEmpty() || handles == null) {
+            return;
+        }
+        post(
+                        address,
+                        dialect.releasePath(),
+                        dialect.headers(owner.get().identifier()),
+                        dialect.encodeRelease(handles),
+                        RELEASE_TIMEOUT_MS)
+                .onFailure(failure -> Events.info(
+                        LOG,
+                        "release_failed",
+                        "endpoint",
+                        owner.get().identifier(),
+                        "results",
+                        handles.size(),
+                        "failure",
+                        failure.getMessage()));
+    }
+
+    private Future<HttpAnswer> post(String address, String path, MultiMap headers, Buffer body, int timeoutMs) {
+        return client.call(new HttpExchange(address, HttpMethod.POST, path, Optional.of(body), timeoutMs), headers);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
@@ -0,0 +1,323 @@
+package org.pimentovale.gateway.stage;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+import org.pimentovale.gateway.GatewayTables;
+import org.pimentovale.gateway.port.PieceResult;
+import org.pimentovale.gateway.port.PieceResult.PieceFailure;
+import org.pimentovale.kernel.batch.QueuedPiece;
+import org.pimentovale.kernel.batch.ResultRoom;
+import org.pimentovale.kernel.batch.StageQueue;
+import org.pimentovale.kernel.batch.StageTicket;
+import org.pimentovale.kernel.directory.EndpointState;
+import org.pimentovale.kernel.serving.PieceLimits;
+import org.pimentovale.kernel.serving.ServingService;
+import org.pimentovale.log.Events;
+
+/**
+ * The queue of one service that works on pieces, and the calls that empty it.
+ *
+ * <p>An endpoint gets its next call when the one before has ended, so that each call holds the most urgent pieces of that
+ * moment. Invariant: an endpoint runs at most its concurrent calls of this dispatcher. Not thread safe; used on one event
+ * loop.
+ */
+public final class StageDispatcher {
+    private static final Logger LOG = Logger.getLogger(StageDispatcher.class);
+    private static final int RETRY_CHECK_MS = 25;
+    private static final long BUSY_PAUSE_MS = 40;
+    private static final long FULL_PAUSE_MS = 250;
+    private static final double SLOW_FACTOR = 2;
+    private static final long SLOWNESS_VALID_MS = 2_500;
+    private static final int MOST_FAILURES = 6;
+    private static final long MS_PER_SECOND = 1_000;
+
+    private final Vertx vertx;
+    private final GatewayTables tables;
+    private final StageCalls calls;
+    private final String service;
+    private final StageQueue queue = new StageQueue();
+    private final ResultRoom room = new ResultRoom();
+    private final Map<StageTicket, Promise<List<String>>> waiting = new LinkedHashMap<>();
+    private final Map<StageTicket, Integer> failures = new HashMap<>();
+    private final Map<String, Integer> running = new HashMap<>();
+    private final Map<String, Long> pausedUntilMs = new HashMap<>();
+    private boolean checkScheduled;
+
+    /**
+     * Creates a dispatcher with an empty queue.
+     *
+     * @param vertx runs timers
+     * @param tables what the gateway knows
+     * @param calls makes the calls
+     * @param service the service's name
+     */
+    public StageDispatcher(Vertx vertx, GatewayTables tables, StageCalls calls, String service) {
+        this.vertx = vertx;
+        this.tables = tables;
+        this.calls = calls;
+        this.service = service;
+    }
+
+    /**
+     * Takes a ticket into the queue.
+     *
+     * @param ticket a new ticket
+     * @return the handles, one a piece; fails with a typed failure
+     */
+    public Future<List<String>> submit(StageTicket ticket) {
+        Promise<List<String>> results = Promise.promise();
+        waiting.put(ticket, results);
+        queue.add(ticket);
+        pump();
+        return results.future();
+    }
+
+    /**
+     * Drops a ticket whose results nobody wants any more, and releases those it has.
+     *
+     * @param ticket the ticket
+     */
+    public void cancel(StageTicket ticket) {
+        if (waiting.containsKey(ticket)) {
+            end(ticket);
+            release(ticket.handles());
+        }
+    }
+
+    /**
+     * Releases results at the endpoints that keep them.
+     *
+     * @param handles the results
+     */
+    public void release(List<String> handles) {
+        handles.forEach(room::release);
+        calls.release(handles);
+        pump();
+    }
+
+    /**
+     * Returns how many tickets have not ended.
+     *
+     * @return the number
+     */
+    public int openTickets() {
+        return waiting.size();
+    }
+
+    /** Starts calls while there are pieces and endpoints for them. */
+    public void pump() {
+        Optional<PieceLimits> limits = limits();
+        if (waiting.isEmpty()) {
+            return;
+        }
+        long nowMs = tables.nowMs();
+        if (limits.isPresent()) {
+            room.expire(nowMs);
+            queue.removeHopeless(limits.get(), nowMs)
+                    .forEach(ticket -> fail(ticket, ErrorCode.DEADLINE_UNREACHABLE, "no turn before the deadline"));
+            while (queue.waitingPieces() > 0 && startCall(limits.get(), nowMs)) {
+                nowMs = tables.nowMs();
+            }
+        }
+        scheduleCheck();
+    }
+
+    private Optional<PieceLimits> limits() {
+        return tables.configuration()
+                .flatMap(configuration -> configuration.service(service))
+                .flatMap(ServingService::pieces);
+    }
+
+    private boolean startCall(PieceLimits limits, long nowMs) {
+        List<EndpointState> usable = tables.endpoints().usable(service);
+        List<EndpointState> free = usable.stream()
+                .filter(endpoint -> isFree(endpoint, limits, nowMs))
+                .sorted(preference(nowMs))
+                .toList();
+        boolean othersFast = usable.stream().anyMatch(endpoint -> !isSlow(endpoint, nowMs));
+        for (EndpointState endpoint : free) {
+            if (othersFast && isSlow(endpoint, nowMs)) {
+                continue;
+            }
+            String identifier = endpoint.latest().identifier();
+            List<QueuedPiece> pieces = queue.takeCall(limits, room.left(identifier, limits.resultMegabytes()), nowMs);
+            if (!pieces.isEmpty()) {
+                call(endpoint, pieces, limits);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean isFree(EndpointState endpoint, PieceLimits limits, long nowMs) {
+        String identifier = endpoint.latest().identifier();
+        return running.getOrDefault(identifier, 0) < limits.concurrentCalls()
+                && nowMs >= pausedUntilMs.getOrDefault(identifier, Long.MIN_VALUE)
+                && !endpoint.avoided(nowMs);
+    }
+
+    private static boolean isSlow(EndpointState endpoint, long nowMs) {
+        return endpoint.slowness() > SLOW_FACTOR && nowMs - endpoint.slownessAtMs() < SLOWNESS_VALID_MS;
+    }
+
+    private static Comparator<EndpointState> preference(long nowMs) {
+        Comparator<EndpointState> soundFirst = Comparator.comparing(endpoint -> isSlow(endpoint, nowMs));
+        return soundFirst.thenComparingDouble(EndpointState::slowness);
+    }
+
+    private void call(EndpointState endpoint, List<QueuedPiece> pieces, PieceLimits limits) {
+        String identifier = endpoint.latest().identifier();
+        long startedMs = tables.nowMs();
+        long bytes = pieces.stream()
+                .mapToLong(piece -> piece.ticket().work().resultBytes())
+                .sum();
+        room.reserve(identifier, bytes);
+        running.merge(identifier, 1, Integer::sum);
+        double expectedMs = limits.durationMs(pieces.size()) * Math.max(1, endpoint.slowness());
+        Events.info(
+                LOG,
+                "stage_call",
+                "service",
+                service,
+                "endpoint",
+                identifier,
+                "pieces",
+                pieces.size(),
+                "waiting",
+                queue.waitingPieces(),
+                "first",
+                pieces.get(0).ticket().work().requestId());
+        calls.run(endpoint.latest(), pieces, expectedMs).onComplete(result -> {
+            running.merge(identifier, -1, Integer::sum);
+            if (result.succeeded()) {
+                double ratio = (tables.nowMs() - startedMs) / limits.durationMs(pieces.size());
+                endpoint.recordSuccess();
+                endpoint.recordSlowness(ratio, tables.nowMs());
+                takeResults(identifier, pieces, result.result(), limits);
+            } else {
+                callFailed(endpoint, pieces, ServingException.of(result.cause()));
+            }
+            pump();
+        });
+    }
+
+    private void takeResults(String endpoint, List<QueuedPiece> pieces, List<PieceResult> results, PieceLimits limits) {
+        long expiresMs = tables.nowMs() + (long) (limits.retentionSeconds() * MS_PER_SECOND);
+        for (int position = 0; position < pieces.size(); position++) {
+            QueuedPiece piece = pieces.get(position);
+            PieceResult result = results.get(position);
+            long bytes = piece.ticket().work().resultBytes();
+            if (result.handle().isPresent()) {
+                room.keep(result.handle().get(), endpoint, bytes, expiresMs);
+                takeHandle(piece, result.handle().get());
+            } else {
+                room.giveBack(endpoint, bytes);
+                pieceFailed(endpoint, piece, result.failure().orElse(PieceFailure.FAILED));
+            }
+        }
+    }
+
+    private void takeHandle(QueuedPiece piece, String handle) {
+        StageTicket ticket = piece.ticket();
+        if (!ticket.open()) {
+            release(List.of(handle));
+            return;
+        }
+        ticket.finish(piece.piece(), handle);
+        if (ticket.finished()) {
+            Promise<List<String>> promise = waiting.get(ticket);
+            end(ticket);
+            promise.tryComplete(ticket.handles());
+        }
+    }
+
+    private void pieceFailed(String endpoint, QueuedPiece piece, PieceFailure failure) {
+        switch (failure) {
+            case LATE -> fail(piece.ticket(), ErrorCode.DEADLINE_UNREACHABLE, "too late at the endpoint");
+            case INPUT_GONE -> fail(piece.ticket(), ErrorCode.STAGE_FAILED, "a result of a stage before is gone");
+            case NO_ROOM -> {
+                pausedUntilMs.put(endpoint, tables.nowMs() + FULL_PAUSE_MS);
+                repeat(piece, "no room");
+            }
+            case FAILED -> repeat(piece, "endpoint failed");
+        }
+    }
+
+    private void callFailed(EndpointState endpoint, List<QueuedPiece> pieces, ServingException failure) {
+        String identifier = endpoint.latest().identifier();
+        Events.warn(
+                LOG,
+                "stage_call_failed",
+                "service",
+                service,
+                "endpoint",
+                identifier,
+                "pieces",
+                pieces.size(),
+                "failure",
+                failure.getMessage());
+        if (failure.code() == ErrorCode.OVERLOADED) {
+            pausedUntilMs.put(identifier, tables.nowMs() + BUSY_PAUSE_MS);
+        } else {
+            endpoint.recordFailure(tables.nowMs());
+        }
+        for (QueuedPiece piece : pieces) {
+            room.giveBack(identifier, piece.ticket().work().resultBytes());
+            repeat(piece, failure.code().label());
+        }
+    }
+
+    private void repeat(QueuedPiece piece, String reason) {
+        StageTicket ticket = piece.ticket();
+        if (!ticket.open()) {
+            return;
+        }
+        if (failures.merge(ticket, 1, Integer::sum)
+                > MOST_FAILURES * ticket.work().pieces()) {
+            fail(ticket, ErrorCode.STAGE_FAILED, "failed again and again: " + reason);
+        } else if (!tables.tryTakeRepeat(service)) {
+            fail(ticket, ErrorCode.RETRY_BUDGET_EXHAUSTED, reason);
+        } else {
+            ticket.putBack(piece.piece());
+        }
+    }
+
+    private void fail(StageTicket ticket, ErrorCode code, String detail) {
+        Promise<List<String>> promise = waiting.get(ticket);
+        if (promise == null) {
+            return;
+        }
+        end(ticket);
+        release(ticket.handles());
+        Events.info(LOG, "stage_refused", "request", ticket.work().requestId(), "service", service, "reason", detail);
+        promise.tryFail(ServingException.notRun(code, service + ": " + detail));
+    }
+
+    private void end(StageTicket ticket) {
+        ticket.close();
+        queue.remove(ticket);
+        failures.remove(ticket);
+        waiting.remove(ticket);
+    }
+
+    /** Pauses end and deadlines pass without any event, so waiting pieces are looked at again. */
+    private void scheduleCheck() {
+        if (!checkScheduled && queue.waitingPieces() > 0) {
+            checkScheduled = true;
+            vertx.setTimer(RETRY_CHECK_MS, fired -> {
+                checkScheduled = false;
+                pump();
+            });
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/QueuedPiece.java
@@ -0,0 +1,9 @@
+package org.pimentovale.kernel.batch;
+
+/**
+ * A piece that was taken out of the queue for a call.
+ *
+ * @param ticket the ticket it belongs to
+ * @param piece its number
+ */
+public record QueuedPiece(StageTicket ticket, int piece) {}
--- /dev/null
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
@@ -0,0 +1,106 @@
+package org.pimentovale.kernel.batch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.pimentovale.kernel.serving.PieceLimits;
+
+/**
+ * The one queue in which the pieces of all requests for a service meet, wherever their callers are connected.
+ *
+ * <p>It answers the load of bursts: a call costs nearly the same however many pieces it holds, so each call is filled
+ * from all requests. Work that can still meet its goal goes first, by urgency and then by the time left; work that can
+ * only be late fills what remains. Invariant: a piece is handed out once until it is put back. Not thread safe.
+ */
+public final class StageQueue {
+    private final List<StageTicket> tickets = new ArrayList<>();
+
+    /**
+     * Adds a ticket.
+     *
+     * @param ticket the ticket
+     */
+    public void add(StageTicket ticket) {
+        tickets.add(ticket);
+    }
+
+    /**
+     * Removes a ticket that has ended or is not wanted any more.
+     *
+     * @param ticket the ticket
+     */
+    public void remove(StageTicket ticket) {
+        tickets.remove(ticket);
+    }
+
+    /**
+     * Returns how many pieces wait.
+     *
+     * @return the number
+     */
+    public int waitingPieces() {
+        return tickets.stream().mapToInt(StageTicket::waitingPieces).sum();
+    }
+
+    /**
+     * Removes the tickets whose pieces cannot all be done before their deadline.
+     *
+     * @param limits what an endpoint of the service bears
+     * @param nowMs the time in milliseconds
+     * @return the tickets, which have not been finished
+     */
+    public List<StageTicket> removeHopeless(PieceLimits limits, long nowMs) {
+        List<StageTicket> hopeless = tickets.stream()
+                .filter(ticket -> ticket.waitingPieces() > 0)
+                .filter(ticket -> nowMs + limits.durationMs(1) > ticket.deadlineMs())
+                .toList();
+        tickets.removeAll(hopeless);
+        return hopeless;
+    }
+
+    /**
+     * Takes the pieces of the next call.
+     *
+     * @param limits what an endpoint of the service bears
+     * @param room the bytes that the endpoint has for results
+     * @param nowMs the time in milliseconds
+     * @return the pieces, none where nothing waits or the first piece finds no room
+     */
+    public List<QueuedPiece> takeCall(PieceLimits limits, long room, long nowMs) {
+        List<StageTicket> order = tickets.stream()
+                .filter(ticket -> ticket.waitingPieces() > 0)
+                .sorted(order(nowMs + (long) limits.durationMs(limits.piecesPerCall() / 2)))
+                .toList();
+        List<QueuedPiece> call = new ArrayList<>();
+        long roomLeft = room;
+        for (StageTicket ticket : order) {
+            while (ticket.waitingPieces() > 0
+                    && call.size() < limits.piecesPerCall()
+                    && roomLeft >= ticket.work().resultBytes()) {
+                roomLeft -= ticket.work().resultBytes();
+                call.add(new QueuedPiece(ticket, ticket.takePiece()));
+            }
+        }
+        return call;
+    }
+
+    /**
+     * Estimates how long new work would wait.
+     *
+     * @param limits what an endpoint of the service bears
+     * @param endpoints the endpoints that take work
+     * @return milliseconds until a new piece would be in a call
+     */
+    public double estimatedWaitMs(PieceLimits limits, int endpoints) {
+        double calls = Math.floor(waitingPieces() / (double) limits.piecesPerCall());
+        return endpoints == 0
+                ? Double.POSITIVE_INFINITY
+                : calls * limits.durationMs(limits.piecesPerCall()) / (endpoints * limits.concurrentCalls());
+    }
+
+    private static Comparator<StageTicket> order(long earliestEndMs) {
+        Comparator<StageTicket> missingGoalLast =
+                Comparator.comparingInt(ticket -> ticket.dueMs() < earliestEndMs ? 1 : 0);
+        return missingGoalLast.thenComparingLong(StageTicket::dueMs).thenComparingLong(StageTicket::arrivedMs);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/pimentovale/kernel/endpoint/ColdShare.java
@@ -0,0 +1,66 @@
+package org.pimentovale.kernel.endpoint;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.pimentovale.kernel.membership.RendezvousHash;
+
+/**
+ * Divides what a cold endpoint bears among the instances, by arithmetic alone.
+ *
+ * <p>A cold endpoint belongs to a few instances by rendezvous; each of them may send it an equal part of its rate. Since
+ * lists of instances lag and differ, two sets of owners may be at work for a moment; the endpoint's tolerance covers
+ * that. Invariant: an instance that owns a part sends at most one request in its interval. Not thread safe.
+ */
+public final class ColdShare {
+    private static final int MOST_OWNERS = 4;
+    private static final long MS_PER_SECOND = 1_000;
+
+    private final String self;
+    private final Map<String, Long> nextMs = new HashMap<>();
+
+    /**
+     * Creates the shares of an instance.
+     *
+     * @param self the instance's name
+     */
+    public ColdShare(String self) {
+        this.self = self;
+    }
+
+    /**
+     * Tells whether this instance may send a request to a cold endpoint now.
+     *
+     * @param endpoint the endpoint's identifier
+     * @param requestsPerSecond what the endpoint bears while cold
+     * @param instances the names of all instances, this one included
+     * @param nowMs the time in milliseconds
+     * @return whether it may
+     */
+    public boolean available(String endpoint, double requestsPerSecond, List<String> instances, long nowMs) {
+        if (requestsPerSecond <= 0 || nowMs < nextMs.getOrDefault(endpoint, Long.MIN_VALUE)) {
+            return false;
+        }
+        return instances.stream()
+                .sorted(Comparator.comparingLong((String name) -> RendezvousHash.weight(endpoint, name))
+                        .reversed())
+                .limit(owners(requestsPerSecond))
+                .anyMatch(self::equals);
+    }
+
+    /**
+     * Records a request to a cold endpoint.
+     *
+     * @param endpoint the endpoint's identifier
+     * @param requestsPerSecond what the endpoint bears while cold
+     * @param nowMs the time in milliseconds
+     */
+    public void recordSend(String endpoint, double requestsPerSecond, long nowMs) {
+        nextMs.put(endpoint, nowMs + (long) Math.ceil(owners(requestsPerSecond) * MS_PER_SECOND / requestsPerSecond));
+    }
+
+    private static int owners(double requestsPerSecond) {
+        return (int) Math.max(1, Math.min(MOST_OWNERS, Math.floor(requestsPerSecond)));
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/pimentovale/kernel/serving/CallerLimits.java
@@ -0,0 +1,9 @@
+package org.pimentovale.kernel.serving;
+
+/**
+ * What callers may send, and how long they may take.
+ *
+ * @param bodyBytes the largest body
+ * @param idleTimeoutMs how long a connection may stay idle
+ */
+public record CallerLimits(long bodyBytes, int idleTimeoutMs) {}
--- a/daemon/src/main/java/org/pimentovale/daemon/log/Events.java
+++ b/model/src/main/java/org/pimentovale/log/Events.java
@@ -1,9 +1,15 @@
-package org.pimentovale.daemon.log;
+package org.pimentovale.log;
 
+import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
 
-/** Writes events as one line of key=value pairs each. Stateless and thread safe. */
+/**
+ * Writes events as one line of key=value pairs each, at a bounded rate for each event name. Thread safe.
+ */
 public final class Events {
+    private static final int LINES_PER_SECOND = 200;
+    private static final EventBudget BUDGET = new EventBudget(LINES_PER_SECOND);
+
     private Events() {}
 
     /**
@@ -15,7 +21,7 @@
      */
     public static void info(Logger logger, String event, Object... pairs) {
         if (logger.isInfoEnabled()) {
-            logger.info(line(event, pairs));
+            write(logger, Logger.Level.INFO, event, pairs);
         }
     }
 
@@ -27,7 +33,14 @@
      * @param pairs keys and values in turn
      */
     public static void warn(Logger logger, String event, Object... pairs) {
-        logger.warn(line(event, pairs));
+        write(logger, Logger.Level.WARN, event, pairs);
+    }
+
+    private static void write(Logger logger, Logger.Level level, String event, Object... pairs) {
+        int leftOut = BUDGET.request(event, TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+        if (leftOut >= 0) {
+            logger.log(level, leftOut == 0 ? line(event, pairs) : line(event, pairs) + " lines_left_out=" + leftOut);
+        }
     }
 
     /**
@@ -37,7 +50,7 @@
      * @param pairs keys and values in turn
      * @return one line
      */
-    static String line(String event, Object... pairs) {
+    public static String line(String event, Object... pairs) {
         StringBuilder line = new StringBuilder("event=").append(event);
         for (int position = 0; position + 1 < pairs.length; position += 2) {
             line.append(' ').append(pairs[position]).append('=').append(quoted(String.valueOf(pairs[position + 1])));
--- a/daemon/src/main/java/org/pimentovale/daemon/log/LoggingSetup.java
+++ b/model/src/main/java/org/pimentovale/log/LoggingSetup.java
@@ -1,18 +1,39 @@
-package org.pimentovale.daemon.log;
+package org.pimentovale.log;
 
 import java.time.Instant;
-import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
+import java.util.logging.StreamHandler;
+import org.jboss.logmanager.handlers.AsyncHandler;
 
-/** Sends all events to standard error, one line each. To be installed before the first logger is made. */
+/**
+ * Sends all events to standard output, one line each. To be installed before the first logger is made.
+ *
+ * <p>Invariant: a caller never waits for the reader of standard output; lines that find the queue full are dropped.
+ */
 public final class LoggingSetup {
+    private static final int QUEUED_LINES = 4_096;
+
     private LoggingSetup() {}
 
+    /** Writes each record to standard output at once. Thread safe, as its superclass. */
+    private static final class OutputHandler extends StreamHandler {
+        private OutputHandler() {
+            super(System.out, new LineFormatter());
+            setLevel(Level.ALL);
+        }
+
+        @Override
+        public synchronized void publish(LogRecord logRecord) {
+            super.publish(logRecord);
+            flush();
+        }
+    }
+
     /** Formats a record as time, level, logger and the event's pairs. Stateless and thread safe. */
     private static final class LineFormatter extends Formatter {
         @Override
@@ -37,10 +58,10 @@
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
-        Handler console = new ConsoleHandler();
-        console.setFormatter(new LineFormatter());
-        console.setLevel(Level.ALL);
-        root.addHandler(console);
+        AsyncHandler queue = new AsyncHandler(QUEUED_LINES);
+        queue.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
+        queue.addHandler(new OutputHandler());
+        root.addHandler(queue);
         root.setLevel(Level.WARNING);
         Logger.getLogger("org.pimentovale").setLevel(Level.parse(level));
     }
--- a/model/src/main/java/org/pimentovale/toml/TomlSection.java
+++ b/model/src/main/java/org/pimentovale/toml/TomlSection.java
@@ -220,6 +220,28 @@
         return Math.max(fallback, lowest);
     }
 
+    /**
+     * Returns a number within bounds, whole or not.
+     *
+     * @param key its name
+     * @param fallback used where the key is absent
+     * @param lowest the lowest allowed number
+     * @param highest the highest allowed number
+     * @return the number
+     */
+    public double decimal(String key, double fallback, double lowest, double highest) {
+        known.add(key);
+        Object value = table.get(List.of(key));
+        if (value == null) {
+            return fallback;
+        }
+        if (value instanceof Number number && number.doubleValue() >= lowest && number.doubleValue() <= highest) {
+            return number.doubleValue();
+        }
+        report(key, value, "a number from " + lowest + " to " + highest);
+        return fallback;
+    }
+
     /**
      * Returns true or false.
      *
--- a/standin/src/main/java/org/pimentovale/standin/StoreStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/StoreStandIn.java
@@ -12,10 +12,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.pimentovale.platform.EmbeddedPlatform;
-import org.pimentovale.platform.MemoryObjectTable;
-import org.pimentovale.platform.StoredObject;
-import org.pimentovale.platform.WriteResult;
+import org.pimentovale.store.EmbeddedPlatform;
+import org.pimentovale.store.MemoryObjectTable;
+import org.pimentovale.store.StoredObject;
+import org.pimentovale.store.WriteResult;
 
 /**
  * The platform's object store and list of instances over HTTP, with faults that a test switches.
--- a/platform/src/main/java/org/pimentovale/platform/HttpPlatform.java
+++ b/store/src/main/java/org/pimentovale/store/HttpPlatform.java
@@ -1,15 +1,12 @@
-package org.pimentovale.platform;
+package org.pimentovale.store;
 
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
-import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -18,6 +15,9 @@
 import java.util.Optional;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
+import org.pimentovale.store.http.HttpAnswer;
+import org.pimentovale.store.http.HttpExchange;
+import org.pimentovale.store.http.TimedHttpClient;
 
 /**
  * The platform over HTTP: entity tags are versions, conditional writes use {@code If-Match} and {@code If-None-Match}.
@@ -32,11 +32,9 @@
     private static final int WATCH_GRACE_MS = 1_000;
     private static final int MAXIMUM_VALUE_BYTES = 1 << 20;
 
-    private final Vertx vertx;
-    private final HttpClient client;
-    private final HttpClient watchClient;
-    private final String host;
-    private final int port;
+    private final TimedHttpClient client;
+    private final TimedHttpClient watchClient;
+    private final String address;
     private final int callTimeoutMs;
 
     private record Answer(int status, long version, Buffer body) {}
@@ -49,14 +47,17 @@
      * @param callTimeoutMs the longest wait for one call in milliseconds
      */
     public HttpPlatform(Vertx vertx, String address, int callTimeoutMs) {
-        this.vertx = vertx;
-        this.host = address.substring(0, address.lastIndexOf(':'));
-        this.port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+        this.address = address;
         this.callTimeoutMs = callTimeoutMs;
         HttpClientOptions options =
                 new HttpClientOptions().setConnectTimeout(callTimeoutMs).setKeepAliveTimeout(IDLE_TIMEOUT_S);
-        this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(POOL_SIZE));
-        this.watchClient = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(WATCH_POOL_SIZE));
+        this.client = timed(vertx, options, POOL_SIZE);
+        this.watchClient = timed(vertx, options, WATCH_POOL_SIZE);
+    }
+
+    private static TimedHttpClient timed(Vertx vertx, HttpClientOptions options, int poolSize) {
+        PoolOptions pool = new PoolOptions().setHttp1MaxSize(poolSize);
+        return new TimedHttpClient(vertx, vertx.createHttpClient(options, pool), ErrorCode.STORE_UNAVAILABLE);
     }
 
     @Override
@@ -159,53 +160,26 @@
     }
 
     private Future<Answer> call(
-            HttpClient sender, HttpMethod method, String path, long version, Buffer body, int timeoutMs) {
-        Promise<Answer> promise = Promise.promise();
-        RequestOptions options = new RequestOptions()
-                .setMethod(method)
-                .setHost(host)
-                .setPort(port)
-                .setURI(path);
+            TimedHttpClient sender, HttpMethod method, String path, long version, Buffer body, int timeoutMs) {
+        MultiMap headers = MultiMap.caseInsensitiveMultiMap();
         if (method.equals(HttpMethod.PUT)) {
-            options.putHeader(version == 0 ? "If-None-Match" : "If-Match", version == 0 ? "*" : tag(version));
+            headers.set(version == 0 ? "If-None-Match" : "If-Match", version == 0 ? "*" : tag(version));
         }
         if (method.equals(HttpMethod.DELETE)) {
-            options.putHeader("If-Match", tag(version));
+            headers.set("If-Match", tag(version));
         }
-        sender.request(options)
-                .onSuccess(request -> {
-                    // A wait for a pooled connection that was granted too late must not send.
-                    if (promise.future().isComplete()) {
-                        request.reset();
-                        return;
-                    }
-                    promise.future().onFailure(failure -> request.reset());
-                    (body == null ? request.send() : request.send(body))
-                            .compose(HttpPlatform::readAnswer)
-                            .onComplete(result -> {
-                                if (result.succeeded()) {
-                                    promise.tryComplete(result.result());
-                                } else {
-                                    promise.tryFail(unavailable(result.cause()));
-                                }
-                            });
-                })
-                .onFailure(failure -> promise.tryFail(unavailable(failure)));
-        long timer = vertx.setTimer(
-                timeoutMs,
-                fired -> promise.tryFail(ServingException.unknown(
-                        ErrorCode.STORE_UNAVAILABLE, "no answer within " + timeoutMs + " ms")));
-        return promise.future()
-                .andThen(result -> vertx.cancelTimer(timer))
+        HttpExchange exchange = new HttpExchange(address, method, path, Optional.ofNullable(body), timeoutMs);
+        return sender.call(exchange, headers)
+                .map(HttpPlatform::readAnswer)
                 .recover(failure -> failure instanceof DecodeException
                         ? Future.failedFuture(unavailable(failure))
                         : Future.failedFuture(failure));
     }
 
-    private static Future<Answer> readAnswer(HttpClientResponse response) {
-        String tag = response.getHeader("ETag");
+    private static Answer readAnswer(HttpAnswer answer) {
+        String tag = answer.headers().get("ETag");
         long version = tag == null ? 0 : Long.parseLong(tag.replace("\"", ""));
-        return response.body().map(body -> new Answer(response.statusCode(), version, body));
+        return new Answer(answer.status(), version, answer.body());
     }
 
     private static ServingException unavailable(Throwable cause) {
--- a/platform/src/main/java/org/pimentovale/platform/PlatformInstance.java
+++ b/store/src/main/java/org/pimentovale/store/PlatformInstance.java
@@ -1,4 +1,4 @@
-package org.pimentovale.platform;
+package org.pimentovale.store;
 
 /**
  * An entry of the platform's lagging list of instances. Immutable and thread safe.
--- a/platform/src/main/java/org/pimentovale/platform/PlatformPlugin.java
+++ b/store/src/main/java/org/pimentovale/store/PlatformPlugin.java
@@ -1,4 +1,4 @@
-package org.pimentovale.platform;
+package org.pimentovale.store;
 
 import io.vertx.core.Vertx;
 import org.pimentovale.plugin.Plugin;
--- a/platform/src/main/java/org/pimentovale/platform/StoredObject.java
+++ b/store/src/main/java/org/pimentovale/store/StoredObject.java
@@ -1,4 +1,4 @@
-package org.pimentovale.platform;
+package org.pimentovale.store;
 
 /**
  * An object of the platform's store. The value must not be changed after construction; then thread safe.
--- a/platform/src/main/java/org/pimentovale/platform/change/ConfigurationEdit.java
+++ b/store/src/main/java/org/pimentovale/store/change/ConfigurationEdit.java
@@ -1,4 +1,4 @@
-package org.pimentovale.platform.change;
+package org.pimentovale.store.change;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/platform/src/main/java/org/pimentovale/platform/change/ConfigurationEditor.java
+++ b/store/src/main/java/org/pimentovale/store/change/ConfigurationEditor.java
@@ -1,4 +1,4 @@
-package org.pimentovale.platform.change;
+package org.pimentovale.store.change;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -7,9 +7,9 @@
 import org.pimentovale.error.Outcome;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.json.Json;
-import org.pimentovale.platform.ObjectStore;
-import org.pimentovale.platform.StoredObject;
-import org.pimentovale.platform.WriteResult;
+import org.pimentovale.store.ObjectStore;
+import org.pimentovale.store.StoredObject;
+import org.pimentovale.store.WriteResult;
 import org.pimentovale.table.Configuration;
 
 /**
--- /dev/null
+++ b/store/src/main/java/org/pimentovale/store/http/HttpAnswer.java
@@ -0,0 +1,13 @@
+package org.pimentovale.store.http;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+
+/**
+ * A whole answer.
+ *
+ * @param status the HTTP status
+ * @param headers the headers
+ * @param body the body
+ */
+public record HttpAnswer(int status, MultiMap headers, Buffer body) {}
--- /dev/null
+++ b/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
@@ -0,0 +1,98 @@
+package org.pimentovale.store.http;
+
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.RequestOptions;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+
+/**
+ * Makes calls that end within their time-out.
+ *
+ * <p>Invariant: the connection of a timed-out or cancelled call is closed and never reused. Thread safe.
+ */
+public final class TimedHttpClient {
+    private final Vertx vertx;
+    private final HttpClient client;
+    private final ErrorCode failureCode;
+
+    /**
+     * Creates a client.
+     *
+     * @param vertx runs timers
+     * @param client makes connections
+     * @param failureCode the code of a call without an answer
+     */
+    public TimedHttpClient(Vertx vertx, HttpClient client, ErrorCode failureCode) {
+        this.vertx = vertx;
+        this.client = client;
+        this.failureCode = failureCode;
+    }
+
+    /**
+     * Makes a call.
+     *
+     * @param exchange the call
+     * @param headers headers to send
+     * @return the whole answer; fails with this client's code where there was none in time
+     */
+    public Future<HttpAnswer> call(HttpExchange exchange, MultiMap headers) {
+        return call(exchange, headers, Promise.promise());
+    }
+
+    /**
+     * Makes a call that its caller may end early by failing the promise.
+     *
+     * @param exchange the call
+     * @param headers headers to send
+     * @param promise receives the answer
+     * @return the promise's future
+     */
+    public Future<HttpAnswer> call(HttpExchange exchange, MultiMap headers, Promise<HttpAnswer> promise) {
+        RequestOptions options = new RequestOptions()
+                .setMethod(exchange.method())
+                .setHost(exchange.host())
+                .setPort(exchange.port())
+                .setURI(exchange.path())
+                .setHeaders(headers);
+        client.request(options)
+                .onSuccess(request -> send(request, exchange, promise))
+                .onFailure(failure -> promise.tryFail(unavailable(failure)));
+        long timer = vertx.setTimer(
+                Math.max(1, exchange.timeoutMs()),
+                fired -> promise.tryFail(
+                        ServingException.unknown(failureCode, "no answer within " + exchange.timeoutMs() + " ms")));
+        return promise.future().andThen(result -> vertx.cancelTimer(timer));
+    }
+
+    private void send(HttpClientRequest request, HttpExchange exchange, Promise<HttpAnswer> promise) {
+        // A wait for a pooled connection that was granted too late must not send.
+        if (promise.future().isComplete()) {
+            request.reset();
+            return;
+        }
+        promise.future().onFailure(failure -> request.reset());
+        (exchange.body().isEmpty()
+                        ? request.send()
+                        : request.send(exchange.body().get()))
+                .compose(response ->
+                        response.body().map(body -> new HttpAnswer(response.statusCode(), response.headers(), body)))
+                .onComplete(result -> {
+                    if (result.succeeded()) {
+                        promise.tryComplete(result.result());
+                    } else {
+                        promise.tryFail(unavailable(result.cause()));
+                    }
+                });
+    }
+
+    private ServingException unavailable(Throwable cause) {
+        return cause instanceof ServingException failure
+                ? failure
+                : ServingException.unknown(failureCode, String.valueOf(cause.getMessage()));
+    }
+}
--- a/tool/src/main/java/org/pimentovale/tool/ZoneOutCommand.java
+++ b/tool/src/main/java/org/pimentovale/tool/ZoneOutCommand.java
@@ -1,6 +1,6 @@
 package org.pimentovale.tool;
 
-import org.pimentovale.platform.change.ConfigurationEdit;
+import org.pimentovale.store.change.ConfigurationEdit;
 
 /** The command {@code zone out}. Stateless and thread safe. */
 public final class ZoneOutCommand implements ToolCommand {
