Prefer the zone of a request's engine for its stages; tests of the path and of the kernel

Change: a stage waits for an endpoint in the zone where its request will probably run, while its goal allows.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -69,6 +69,9 @@
     private final PeerMonitor monitor;
     private final CallerListener callers;
     private final PeerListener peerListener;
+    private int callerPort;
+    private int readinessPort;
+    private InstanceRecord announced;
 
     /**
      * Creates a gateway that does not run yet.
@@ -139,21 +142,50 @@
      */
     public Future<Void> start() {
         return listen(settings.readiness(), this::answerReadiness)
-                .compose(done -> listen(settings.peers(), peerListener::handle))
-                .compose(done -> listen(settings.callers(), callers::handle))
-                .onSuccess(done -> {
+                .compose(port -> {
+                    readinessPort = port;
+                    return listen(settings.peers(), peerListener::handle);
+                })
+                .compose(port -> {
+                    announced = new InstanceRecord(self.name(), hostOf(settings.peers()) + ":" + port, self.zone());
+                    return listen(settings.callers(), callers::handle);
+                })
+                .onSuccess(port -> {
+                    callerPort = port;
                     follower.start();
                     monitor.start();
                     announce();
                     Events.info(LOG, "gateway_started", "name", settings.name(), "zone", settings.zone());
-                });
+                })
+                .mapEmpty();
+    }
+
+    /**
+     * Returns the port for callers.
+     *
+     * @return the port, once the gateway has started
+     */
+    public int callerPort() {
+        return callerPort;
+    }
+
+    /**
+     * Returns the port for the balancer's question.
+     *
+     * @return the port, once the gateway has started
+     */
+    public int readinessPort() {
+        return readinessPort;
     }
 
-    private Future<Void> listen(String address, Handler<HttpServerRequest> handler) {
-        int colon = address.lastIndexOf(':');
+    private static String hostOf(String address) {
+        return address.substring(0, address.lastIndexOf(':'));
+    }
+
+    private Future<Integer> listen(String address, Handler<HttpServerRequest> handler) {
         HttpServerOptions options = new HttpServerOptions()
-                .setHost(address.substring(0, colon))
-                .setPort(Integer.parseInt(address.substring(colon + 1)))
+                .setHost(hostOf(address))
+                .setPort(Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)))
                 .setMaxHeaderSize(MOST_HEADER_BYTES)
                 .setMaxInitialLineLength(MOST_HEADER_BYTES)
                 .setHandle100ContinueAutomatically(true)
@@ -162,8 +194,7 @@
         return vertx.createHttpServer(options)
                 .requestHandler(handler)
                 .listen()
-                .map(HttpServer::actualPort)
-                .mapEmpty();
+                .map(HttpServer::actualPort);
     }
 
     private void answerReadiness(HttpServerRequest http) {
@@ -175,7 +206,7 @@
         if (state.leaving()) {
             return;
         }
-        source.announce(self).onFailure(failure -> {
+        source.announce(announced).onFailure(failure -> {
             Events.warn(LOG, "announce_failed", "failure", failure.getMessage());
             vertx.setTimer(ANNOUNCE_RETRY_MS, fired -> announce());
         });
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
@@ -113,7 +113,10 @@
             dispatch();
             return;
         }
-        StagePhase phase = new StagePhase(request, tables, services.stages());
+        // The results are best made where the request will probably run.
+        Optional<String> zone =
+                chooseEndpoint(tables.nowMs()).map(endpoint -> endpoint.latest().zone());
+        StagePhase phase = new StagePhase(request, tables, services.stages(), zone);
         stagePhase = Optional.of(phase);
         phase.start()
                 .onSuccess(results -> {
@@ -131,23 +134,28 @@
         if (dispatchStartedMs < 0) {
             dispatchStartedMs = nowMs;
         }
+        ServingService service = request.routed().service();
+        Optional<EndpointState> chosen = chooseEndpoint(nowMs);
+        if (chosen.isEmpty()) {
+            waitForEndpoint(nowMs);
+        } else if (sentBefore && !tables.tryTakeRepeat(service.name())) {
+            fail(failureOf(ErrorCode.RETRY_BUDGET_EXHAUSTED, "of " + service.name()));
+        } else {
+            send(chosen.get(), service, nowMs);
+        }
+    }
+
+    private Optional<EndpointState> chooseEndpoint(long nowMs) {
         ServingService service = request.routed().service();
         List<EndpointState> usable = tables.endpoints().usable(service.name()).stream()
                 .filter(endpoint -> mayTakeNow(endpoint, service, nowMs))
                 .toList();
-        Optional<EndpointState> chosen = EndpointChooser.choose(
+        return EndpointChooser.choose(
                 usable,
                 tried,
                 request.attempt().sharedPart().map(PromptPart::identifier),
                 tables.peers().self().zone(),
                 nowMs);
-        if (chosen.isEmpty()) {
-            waitForEndpoint(nowMs);
-        } else if (sentBefore && !tables.tryTakeRepeat(service.name())) {
-            fail(failureOf(ErrorCode.RETRY_BUDGET_EXHAUSTED, "of " + service.name()));
-        } else {
-            send(chosen.get(), service, nowMs);
-        }
     }
 
     private boolean mayTakeNow(EndpointState endpoint, ServingService service, long nowMs) {
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/StagePhase.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/StagePhase.java
@@ -28,14 +28,16 @@
     private final CallerRequest request;
     private final GatewayTables tables;
     private final StageClient stages;
+    private final Optional<String> preferredZone;
     private final StageGraph graph;
     private final List<StageClient.StageRun> running = new ArrayList<>();
     private final Promise<List<String>> inputs = Promise.promise();
 
-    StagePhase(CallerRequest request, GatewayTables tables, StageClient stages) {
+    StagePhase(CallerRequest request, GatewayTables tables, StageClient stages, Optional<String> preferredZone) {
         this.request = request;
         this.tables = tables;
         this.stages = stages;
+        this.preferredZone = preferredZone;
         this.graph = new StageGraph(request.routed().route(), request.attempt().pieceCounts());
     }
 
@@ -70,7 +72,7 @@
                 Math.max(0, request.goalMs() - nowMs - ENGINE_RESERVE_MS - followersMs(stage)),
                 request.deadlineMs() - nowMs,
                 request.routed().priority(),
-                Optional.empty());
+                preferredZone);
         StageClient.StageRun run = stages.run(work);
         running.add(run);
         run.results().onComplete(result -> {
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageCalls.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageCalls.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
@@ -31,7 +32,7 @@
     private static final double TIMEOUT_FACTOR = 2.5;
     private static final int TIMEOUT_SLACK_MS = 200;
     private static final int RELEASE_TIMEOUT_MS = 500;
-    private static final int RELEASE_DELAY_MS = 20;
+    private static final int RELEASE_DELAY_MS = 10;
     private static final int STATUS_OK = 200;
 
     private final Vertx vertx;
@@ -103,21 +104,22 @@
      * Releases results shortly afterwards, together with others of the same endpoint.
      *
      * @param handles the results
+     * @param released is told which results their endpoint has released
      */
-    public void release(List<String> handles) {
+    public void release(List<String> handles, Consumer<List<String>> released) {
         for (String handle : handles) {
             String address = dialect.addressOf(handle);
             List<String> sameEndpoint = releases.get(address);
             if (sameEndpoint == null) {
                 sameEndpoint = new ArrayList<>();
                 releases.put(address, sameEndpoint);
-                vertx.setTimer(RELEASE_DELAY_MS, fired -> sendReleases(address));
+                vertx.setTimer(RELEASE_DELAY_MS, fired -> sendReleases(address, released));
             }
             sameEndpoint.add(handle);
         }
     }
 
-    private void sendReleases(String address) {
+    private void sendReleases(String address, Consumer<List<String>> released) {
         List<String> handles = releases.remove(address);
         // An address may belong to another endpoint by now; only one that is still listed is told.
         Optional<EndpointRecord> owner = tables.endpoints().all().stream()
@@ -133,6 +135,7 @@
                         dialect.headers(owner.get().identifier()),
                         dialect.encodeRelease(handles),
                         RELEASE_TIMEOUT_MS)
+                .onSuccess(answer -> released.accept(handles))
                 .onFailure(failure -> Events.info(
                         LOG,
                         "release_failed",
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
@@ -100,9 +102,10 @@
      * @param handles the results
      */
     public void release(List<String> handles) {
-        handles.forEach(room::release);
-        calls.release(handles);
-        pump();
+        calls.release(handles, released -> {
+            released.forEach(room::release);
+            pump();
+        });
     }
 
     /**
@@ -144,13 +147,20 @@
                 .filter(endpoint -> isFree(endpoint, limits, nowMs))
                 .sorted(preference(nowMs))
                 .toList();
+        Set<String> zones =
+                usable.stream().map(endpoint -> endpoint.latest().zone()).collect(Collectors.toSet());
         boolean othersFast = usable.stream().anyMatch(endpoint -> !isSlow(endpoint, nowMs));
         for (EndpointState endpoint : free) {
             if (othersFast && isSlow(endpoint, nowMs)) {
                 continue;
             }
             String identifier = endpoint.latest().identifier();
-            List<QueuedPiece> pieces = queue.takeCall(limits, room.left(identifier, limits.resultMegabytes()), nowMs);
+            List<QueuedPiece> pieces = queue.takeCall(
+                    limits,
+                    room.left(identifier, limits.resultMegabytes()),
+                    endpoint.latest().zone(),
+                    zones,
+                    nowMs);
             if (!pieces.isEmpty()) {
                 call(endpoint, pieces, limits);
                 return true;
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import org.pimentovale.kernel.serving.PieceLimits;
 
 /**
@@ -10,9 +12,13 @@
  *
  * <p>It answers the load of bursts: a call costs nearly the same however many pieces it holds, so each call is filled
  * from all requests. Work that can still meet its goal goes first, by urgency and then by the time left; work that can
- * only be late fills what remains. Invariant: a piece is handed out once until it is put back. Not thread safe.
+ * only be late fills what remains. Work that prefers an availability zone waits for an endpoint there as long as its goal
+ * allows, since results that cross zones cost more than a short wait. Invariant: a piece is handed out once until it is
+ * put back. Not thread safe.
  */
 public final class StageQueue {
+    private static final double ZONE_PATIENCE_CALLS = 2;
+
     private final List<StageTicket> tickets = new ArrayList<>();
 
     /**
@@ -63,12 +69,16 @@
      *
      * @param limits what an endpoint of the service bears
      * @param room the bytes that the endpoint has for results
+     * @param zone the endpoint's availability zone
+     * @param zones the availability zones of all endpoints that take work
      * @param nowMs the time in milliseconds
-     * @return the pieces, none where nothing waits or the first piece finds no room
+     * @return the pieces, none where nothing is to be done there or the first piece finds no room
      */
-    public List<QueuedPiece> takeCall(PieceLimits limits, long room, long nowMs) {
+    public List<QueuedPiece> takeCall(PieceLimits limits, long room, String zone, Set<String> zones, long nowMs) {
+        double fullCallMs = limits.durationMs(limits.piecesPerCall());
         List<StageTicket> order = tickets.stream()
                 .filter(ticket -> ticket.waitingPieces() > 0)
+                .filter(ticket -> mayRunIn(ticket, zone, zones, nowMs + (long) (fullCallMs * ZONE_PATIENCE_CALLS)))
                 .sorted(order(nowMs + (long) limits.durationMs(limits.piecesPerCall() / 2)))
                 .toList();
         List<QueuedPiece> call = new ArrayList<>();
@@ -84,6 +94,14 @@
         return call;
     }
 
+    private static boolean mayRunIn(StageTicket ticket, String zone, Set<String> zones, long urgentBeforeMs) {
+        Optional<String> preferred = ticket.work().zone();
+        return preferred.isEmpty()
+                || preferred.get().equals(zone)
+                || !zones.contains(preferred.get())
+                || ticket.dueMs() < urgentBeforeMs;
+    }
+
     /**
      * Estimates how long new work would wait.
      *
--- a/kernel/src/main/java/org/pimentovale/kernel/endpoint/ColdShare.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/endpoint/ColdShare.java
@@ -1,6 +1,5 @@
 package org.pimentovale.kernel.endpoint;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,11 +41,11 @@
         if (requestsPerSecond <= 0 || nowMs < nextMs.getOrDefault(endpoint, Long.MIN_VALUE)) {
             return false;
         }
-        return instances.stream()
-                .sorted(Comparator.comparingLong((String name) -> RendezvousHash.weight(endpoint, name))
-                        .reversed())
-                .limit(owners(requestsPerSecond))
-                .anyMatch(self::equals);
+        long ownWeight = RendezvousHash.weight(endpoint, self);
+        long preferred = instances.stream()
+                .filter(name -> RendezvousHash.weight(endpoint, name) > ownWeight)
+                .count();
+        return preferred < owners(requestsPerSecond);
     }
 
     /**
--- /dev/null
+++ b/kernel/src/test/java/org/pimentovale/kernel/batch/StageQueueTest.java
@@ -0,0 +1,160 @@
+package org.pimentovale.kernel.batch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pimentovale.kernel.serving.PieceLimits;
+
+class StageQueueTest {
+    private static final PieceLimits LIMITS = new PieceLimits(1, 2, 6, 150, 20, 27, 4);
+    private static final long ROOM = 27_000_000;
+    private static final Set<String> ZONES = Set.of("north", "south");
+
+    private final StageQueue queue = new StageQueue();
+
+    private StageTicket add(String request, int pieces, long goalLeftMs, Optional<String> zone) {
+        StageWork work = new StageWork(
+                request, "catalogue", 0, pieces, Optional.of("key"), List.of(), 3_000_000, goalLeftMs, 6_000, 1, zone);
+        StageTicket ticket = new StageTicket(work, 0);
+        queue.add(ticket);
+        return ticket;
+    }
+
+    private List<String> takeCall(long room, String zone, long nowMs) {
+        return queue.takeCall(LIMITS, room, zone, ZONES, nowMs).stream()
+                .map(piece -> piece.ticket().work().requestId() + piece.piece())
+                .toList();
+    }
+
+    @Nested
+    class FullCalls {
+        @Test
+        void holdPiecesOfSeveralRequests() {
+            add("a", 4, 2_000, Optional.empty());
+            add("b", 4, 3_000, Optional.empty());
+
+            assertThat(takeCall(ROOM, "north", 0))
+                    .containsExactly("a0", "a1", "a2", "a3", "b0", "b1")
+                    .inOrder();
+            assertThat(takeCall(ROOM, "north", 0)).containsExactly("b2", "b3").inOrder();
+            assertThat(queue.waitingPieces()).isEqualTo(0);
+        }
+
+        @Test
+        void takeTheRequestThatIsDueFirst() {
+            add("late", 2, 3_000, Optional.empty());
+            add("soon", 2, 1_000, Optional.empty());
+
+            assertThat(takeCall(ROOM, "north", 0).get(0)).isEqualTo("soon0");
+        }
+
+        @Test
+        void takeWorkThatMissesItsGoalLast() {
+            add("missed", 2, 50, Optional.empty());
+            add("reachable", 2, 1_000, Optional.empty());
+
+            assertThat(takeCall(ROOM, "north", 0).get(0)).isEqualTo("reachable0");
+        }
+
+        @Test
+        void holdNoMoreThanTheEndpointHasRoomFor() {
+            add("a", 6, 2_000, Optional.empty());
+
+            assertThat(takeCall(7_000_000, "north", 0)).hasSize(2);
+        }
+    }
+
+    @Nested
+    class AvailabilityZones {
+        @Test
+        void keepUnhurriedWorkForTheirOwnEndpoints() {
+            add("a", 2, 5_000, Optional.of("south"));
+
+            assertThat(takeCall(ROOM, "north", 0)).isEmpty();
+            assertThat(takeCall(ROOM, "south", 0)).hasSize(2);
+        }
+
+        @Test
+        void doNotHoldUrgentWorkBack() {
+            add("a", 2, 500, Optional.of("south"));
+
+            assertThat(takeCall(ROOM, "north", 0)).hasSize(2);
+        }
+
+        @Test
+        void doNotHoldWorkBackThatNoEndpointServesAtHome() {
+            add("a", 2, 5_000, Optional.of("east"));
+
+            assertThat(takeCall(ROOM, "north", 0)).hasSize(2);
+        }
+    }
+
+    @Nested
+    class HopelessWork {
+        @Test
+        void isRemovedOnceNoCallCanEndInTime() {
+            StageTicket ticket = add("a", 2, 500, Optional.empty());
+
+            assertThat(queue.removeHopeless(LIMITS, 5_000)).isEmpty();
+            assertThat(queue.removeHopeless(LIMITS, 5_900)).containsExactly(ticket);
+            assertThat(queue.waitingPieces()).isEqualTo(0);
+        }
+    }
+
+    @Nested
+    class FailedPieces {
+        @Test
+        void areTakenAgain() {
+            StageTicket ticket = add("a", 2, 2_000, Optional.empty());
+            takeCall(ROOM, "north", 0);
+            ticket.finish(0, "handle-0");
+
+            ticket.putBack(0);
+            ticket.putBack(1);
+
+            assertThat(takeCall(ROOM, "north", 0)).containsExactly("a1");
+        }
+
+        @Test
+        void ofClosedTicketsAreNot() {
+            StageTicket ticket = add("a", 2, 2_000, Optional.empty());
+
+            ticket.close();
+
+            assertThat(takeCall(ROOM, "north", 0)).isEmpty();
+        }
+    }
+
+    /** A burst of requests of 2.5 pieces each, through eight instances, for three endpoints. */
+    @Nested
+    class UnderABurst {
+        private static final int REQUESTS = 48;
+        private static final int INSTANCES = 8;
+
+        @Test
+        void oneQueueNeedsFarFewerCallsThanOneForEachInstance() {
+            int together = 0;
+            for (int request = 0; request < REQUESTS; request++) {
+                add("r" + request, 2 + request % 2, 2_000, Optional.empty());
+            }
+            while (!takeCall(Long.MAX_VALUE, "north", 0).isEmpty()) {
+                together++;
+            }
+
+            int apart = 0;
+            for (int instance = 0; instance < INSTANCES; instance++) {
+                for (int request = instance; request < REQUESTS; request += INSTANCES) {
+                    // Requests of one instance come apart from each other, so each is a call.
+                    add("r" + request, 2 + request % 2, 2_000, Optional.empty());
+                    apart += takeCall(Long.MAX_VALUE, "north", 0).isEmpty() ? 0 : 1;
+                }
+            }
+
+            assertThat(together).isAtMost(apart / 2);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/test/java/org/pimentovale/kernel/directory/EndpointDirectoryTest.java
@@ -0,0 +1,109 @@
+package org.pimentovale.kernel.directory;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class EndpointDirectoryTest {
+    private final EndpointDirectory directory = new EndpointDirectory();
+
+    private static EndpointRecord endpoint(String identifier, boolean leaving, double coldMs, long bornMs) {
+        return new EndpointRecord(identifier, "engines", "10.0.0.1:80", "north", 8, leaving, coldMs, bornMs);
+    }
+
+    private List<String> usable() {
+        return directory.usable("engines").stream()
+                .map(state -> state.latest().identifier())
+                .toList();
+    }
+
+    @Nested
+    class News {
+        @Test
+        void offersWhatIsListed() {
+            directory.replaceAll(List.of(endpoint("a", false, 0, 1), endpoint("b", true, 0, 1)), 0);
+
+            assertThat(usable()).containsExactly("a");
+        }
+
+        @Test
+        void dropsWhatIsNoLongerListed() {
+            directory.replaceAll(List.of(endpoint("a", false, 0, 1)), 0);
+            directory.replaceAll(List.of(endpoint("b", false, 0, 1)), 10);
+
+            assertThat(usable()).containsExactly("b");
+        }
+
+        @Test
+        void dropsWhatLeaves() {
+            directory.put(endpoint("a", false, 0, 1), 0);
+            EndpointState state = directory.find("a").orElseThrow();
+            directory.put(endpoint("a", true, 0, 1), 10);
+
+            assertThat(usable()).isEmpty();
+            assertThat(directory.mayGetWork(state)).isFalse();
+        }
+
+        @Test
+        void keepsWithdrawnZonesOut() {
+            directory.put(endpoint("a", false, 0, 1), 0);
+
+            directory.withdrawZones(List.of("north"));
+            assertThat(usable()).isEmpty();
+            directory.withdrawZones(List.of());
+
+            assertThat(usable()).containsExactly("a");
+        }
+
+        @Test
+        void forgetsFailuresOfAnEarlierStart() {
+            directory.put(endpoint("a", false, 0, 1), 0);
+            EndpointState state = directory.find("a").orElseThrow();
+            state.recordFailure(0);
+            assertThat(state.avoided(10)).isTrue();
+
+            directory.put(endpoint("a", false, 3_000, 2), 10);
+
+            assertThat(state.avoided(10)).isFalse();
+            assertThat(state.cold(3_000)).isTrue();
+            assertThat(state.cold(3_010)).isFalse();
+        }
+    }
+
+    @Nested
+    class AfterTheStoreWasAway {
+        @Test
+        void keepsLapsedEntriesForTheGracePeriod() {
+            directory.put(endpoint("a", false, 0, 1), 0);
+            directory.storeRegained(1_000);
+            directory.remove("a", 1_100);
+
+            assertThat(usable()).containsExactly("a");
+            assertThat(directory.removeLapsed(2_999)).isEmpty();
+            assertThat(directory.removeLapsed(3_000)).containsExactly("a");
+            assertThat(usable()).isEmpty();
+        }
+
+        @Test
+        void keepsEntriesThatComeBack() {
+            directory.put(endpoint("a", false, 0, 1), 0);
+            directory.storeRegained(1_000);
+            directory.remove("a", 1_100);
+            directory.put(endpoint("a", false, 0, 1), 2_500);
+
+            assertThat(directory.removeLapsed(3_000)).isEmpty();
+            assertThat(usable()).containsExactly("a");
+        }
+
+        @Test
+        void doesNotKeepEndpointsThatWereLeaving() {
+            directory.put(endpoint("a", true, 0, 1), 0);
+            directory.storeRegained(1_000);
+            directory.remove("a", 1_100);
+
+            assertThat(directory.find("a")).isEmpty();
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/EndpointBehaviour.java
@@ -0,0 +1,138 @@
+package org.pimentovale.standin.fleet;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+
+/** What a stand-in does with a request that it has read. Immutable and thread safe. */
+public enum EndpointBehaviour {
+    /** Answers in full. */
+    ANSWER {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            socket.write(head(attempt, "200 OK", BODY.length()) + BODY);
+        }
+    },
+    /** Streams two events and the end. */
+    STREAM {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            socket.write(streamHead(attempt) + chunk("id: 1\ndata: one\n\n"));
+            socket.write(chunk("id: 2\ndata: two\n\n") + "0\r\n\r\n");
+        }
+    },
+    /** States that it is full and has not run the request. */
+    REFUSE {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            socket.write("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        }
+    },
+    /** Says 503 without stating that the request has not run. */
+    FAIL_LIKE_REFUSAL {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            socket.write(head(attempt, "503 Service Unavailable", BODY.length()) + BODY);
+        }
+    },
+    /** Says 500, having run the request. */
+    FAIL {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            socket.write(head(attempt, "500 Internal Server Error", BODY.length()) + BODY);
+        }
+    },
+    /** Closes the connection instead of an answer. */
+    CLOSE {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            socket.close();
+        }
+    },
+    /** Sends half of the body and closes. */
+    TRUNCATE {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            socket.write(head(attempt, "200 OK", BODY.length()) + BODY.substring(0, BODY.length() / 2))
+                    .onComplete(written -> socket.close());
+        }
+    },
+    /** Sends a body without a length, whose end is the end of the connection. */
+    UNFRAMED {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            socket.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Stamp: s\r\n\r\n" + BODY)
+                    .onComplete(written -> socket.close());
+        }
+    },
+    /** Sends a whole answer and a second one behind it. */
+    EXTRA {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            String whole = head(attempt, "200 OK", BODY.length()) + BODY;
+            socket.write(whole + head("another", "200 OK", BODY.length()) + BODY);
+        }
+    },
+    /** Answers another attempt. */
+    CROSSED {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            socket.write(head("another", "200 OK", BODY.length()) + BODY);
+        }
+    },
+    /** Answers without a signature. */
+    UNSIGNED {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            socket.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nContent-Length: 2\r\n\r\nok");
+        }
+    },
+    /** Sends bytes that are no answer. */
+    GARBLE {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            socket.write(Buffer.buffer(new byte[] {1, 2, 3, 13, 10, 13, 10})).onComplete(written -> socket.close());
+        }
+    },
+    /** Streams one event and breaks off. */
+    BREAK_STREAM {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            socket.write(streamHead(attempt) + chunk("id: 1\ndata: one\n\n"))
+                    .onComplete(written -> socket.close());
+        }
+    },
+    /** Streams one event and does not go on. */
+    STALL_STREAM {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            socket.write(streamHead(attempt) + chunk("id: 1\ndata: one\n\n"));
+        }
+    },
+    /** Never answers. */
+    HANG {
+        @Override
+        void answer(NetSocket socket, String attempt) {
+            // The request stays unanswered.
+        }
+    };
+
+    /** The body of whole answers. */
+    public static final String BODY = "{\"bench\":\"free\"}";
+
+    abstract void answer(NetSocket socket, String attempt);
+
+    private static String head(String attempt, String status, int length) {
+        return "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + attempt
+                + "\r\nX-Server-Stamp: stamp-1\r\nX-Instance-Load: 1,0,6\r\nContent-Length: " + length + "\r\n\r\n";
+    }
+
+    private static String streamHead(String attempt) {
+        return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt
+                + "\r\nX-Server-Stamp: stamp-1\r\nContent-Type: text/event-stream\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n";
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+}
