--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -100,7 +100,7 @@
         StageCalls stageCalls = new StageCalls(vertx, endpointCalls, tables, platform.stages(), platform.endpoints());
         this.ownership = new StageOwnership(service -> new StageDispatcher(vertx, tables, stageCalls, service));
         this.stageClient = new StageClient(tables, peerCalls, ownership);
-        this.follower = new StoreFollower(vertx, source, platform.reader(), tables, random, ownership::pumpAll);
+        this.follower = new StoreFollower(vertx, source, platform.reader(), tables, random, this::beliefsChanged);
         this.monitor = new PeerMonitor(vertx, tables, peerCalls, this::stageServices, stageClient::peerLost);
         EndpointClient endpoints =
                 new EndpointClient(vertx.createHttpClient(clientOptions(false), pool(MOST_CONNECTIONS_PER_HOST)));
@@ -126,6 +126,11 @@
         return new PoolOptions().setHttp1MaxSize(connections);
     }
 
+    private void beliefsChanged() {
+        ownership.pumpAll();
+        callers.admitHeld();
+    }
+
     private List<String> stageServices() {
         List<String> names = new ArrayList<>();
         tables.configuration().map(ServingConfiguration::services).ifPresent(services -> services.stream()
@@ -191,10 +196,7 @@
                 .setHandle100ContinueAutomatically(true)
                 .setAcceptBacklog(ACCEPT_BACKLOG)
                 .setTcpNoDelay(true);
-        return vertx.createHttpServer(options)
-                .requestHandler(handler)
-                .listen()
-                .map(HttpServer::actualPort);
+        return vertx.createHttpServer(options).requestHandler(handler).listen().map(HttpServer::actualPort);
     }
 
     private void answerReadiness(HttpServerRequest http) {
--- a/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
@@ -10,6 +10,7 @@
 import org.pimentovale.gateway.settings.GatewaySettings.RetryBounds;
 import org.pimentovale.kernel.directory.EndpointDirectory;
 import org.pimentovale.kernel.endpoint.ColdShare;
+import org.pimentovale.kernel.placement.DurationEstimates;
 import org.pimentovale.kernel.retry.WindowedRetryBudget;
 import org.pimentovale.kernel.serving.ServingConfiguration;
 import org.pimentovale.kernel.time.MonotonicClock;
@@ -21,10 +22,13 @@
  * a lock.
  */
 public final class GatewayTables {
+    private static final double FIRST_EVENT_MS = 150;
+
     private final MonotonicClock clock;
     private final EndpointDirectory endpoints = new EndpointDirectory();
     private final PeerTable peers;
     private final ColdShare coldShare;
+    private final DurationEstimates firstEvents = new DurationEstimates(FIRST_EVENT_MS);
     private final RetryBounds retryBounds;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -117,6 +121,15 @@
         return peers;
     }
 
+    /**
+     * Returns how long requests of each route take at their endpoint until their first event.
+     *
+     * @return the estimates, by route
+     */
+    public DurationEstimates firstEvents() {
+        return firstEvents;
+    }
+
     /**
      * Returns this gateway's parts of what cold endpoints bear.
      *
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/CallerListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/CallerListener.java
@@ -2,6 +2,8 @@
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.jboss.logging.Logger;
 import org.pimentovale.error.ErrorCode;
@@ -19,12 +21,14 @@
 public final class CallerListener {
     private static final Logger LOG = Logger.getLogger(CallerListener.class);
     private static final long NOT_READY_RETRY_MS = 300;
+    private static final long LONGEST_HOLD_MS = 400;
     private static final String SPLIT_DUTY = "split";
 
     private final GatewayTables tables;
     private final GatewayState state;
     private final CallerDialect dialect;
     private final RequestServices services;
+    private final List<Runnable> held = new ArrayList<>();
 
     /**
      * Creates a listener.
@@ -48,6 +52,37 @@
      */
     public void handle(HttpServerRequest http) {
         long arrivedMs = tables.nowMs();
+        if (tables.ready()) {
+            admit(http, arrivedMs);
+            return;
+        }
+        // A new life knows the configuration a moment after it opens; a short wait serves its first callers.
+        http.pause();
+        boolean[] admitted = {false};
+        Runnable once = () -> {
+            if (!admitted[0]) {
+                admitted[0] = true;
+                admit(http, arrivedMs);
+                http.resume();
+            }
+        };
+        held.add(once);
+        services.vertx().setTimer(LONGEST_HOLD_MS, fired -> {
+            held.remove(once);
+            once.run();
+        });
+    }
+
+    /** Admits the requests that were held, once what serves them is known. */
+    public void admitHeld() {
+        if (!held.isEmpty() && tables.ready()) {
+            List<Runnable> ready = List.copyOf(held);
+            held.clear();
+            ready.forEach(Runnable::run);
+        }
+    }
+
+    private void admit(HttpServerRequest http, long arrivedMs) {
         CallerAnswer answer = new CallerAnswer(http, state::leaving);
         try {
             ServingConfiguration configuration = configurationInForce();
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
@@ -61,6 +61,7 @@
     private final class EndpointCall {
         private final EndpointState endpoint;
         private final EndpointClient.Sending sending;
+        private final long sentMs = tables.nowMs();
         private boolean open = true;
         private long silenceTimer = -1;
 
@@ -357,7 +358,9 @@
                         response.statusCode(),
                         response.statusMessage(),
                         services.dialect().answerHeaders(response.headers())));
-                log("stream_begun", "endpoint", call.endpoint.latest().identifier());
+                long waitedMs = tables.nowMs() - call.sentMs;
+                tables.firstEvents().record(request.routed().route().name(), waitedMs);
+                log("stream_begun", "endpoint", call.endpoint.latest().identifier(), "waited_ms", waitedMs);
                 stagePhase.ifPresent(StagePhase::end);
             }
             return forwarded.get();
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/StagePhase.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/StagePhase.java
@@ -23,8 +23,6 @@
  */
 final class StagePhase {
     private static final Logger LOG = Logger.getLogger(StagePhase.class);
-    private static final long ENGINE_RESERVE_MS = 150;
-
     private final CallerRequest request;
     private final GatewayTables tables;
     private final StageClient stages;
@@ -61,6 +59,9 @@
 
     private void startStage(RouteStage stage) {
         long nowMs = tables.nowMs();
+        long afterwardsMs = followersMs(stage)
+                + (long)
+                        tables.firstEvents().expectedMs(request.routed().route().name());
         StageWork work = new StageWork(
                 request.attempt().identifier(),
                 stage.service(),
@@ -69,8 +70,8 @@
                 stage.after().isEmpty() ? request.attempt().pieceKey() : Optional.empty(),
                 graph.inputs(stage),
                 stage.resultBytes(),
-                Math.max(0, request.goalMs() - nowMs - ENGINE_RESERVE_MS - followersMs(stage)),
-                request.deadlineMs() - nowMs,
+                Math.max(0, request.goalMs() - nowMs - afterwardsMs),
+                Math.max(1, request.deadlineMs() - nowMs - afterwardsMs),
                 request.routed().priority(),
                 preferredZone);
         StageClient.StageRun run = stages.run(work);
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
@@ -17,7 +17,7 @@
  * put back. Not thread safe.
  */
 public final class StageQueue {
-    private static final double ZONE_PATIENCE_CALLS = 2;
+    private static final double ZONE_PATIENCE_CALLS = 2.5;
 
     private final List<StageTicket> tickets = new ArrayList<>();
 
@@ -58,7 +58,8 @@
     public List<StageTicket> removeHopeless(PieceLimits limits, long nowMs) {
         List<StageTicket> hopeless = tickets.stream()
                 .filter(ticket -> ticket.waitingPieces() > 0)
-                .filter(ticket -> nowMs + limits.durationMs(1) > ticket.deadlineMs())
+                .filter(ticket -> nowMs + limits.durationMs(Math.min(ticket.waitingPieces(), limits.piecesPerCall()))
+                        > ticket.deadlineMs())
                 .toList();
         tickets.removeAll(hopeless);
         return hopeless;
--- a/kernel/src/test/java/org/pimentovale/kernel/batch/StageGraphTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/batch/StageGraphTest.java
@@ -33,8 +33,7 @@
                 false);
     }
 
-    private final StageGraph graph =
-            new StageGraph(route(PICTURES, QUERY, RETRIEVE, RERANK), List.of(2, 1, 2, 3));
+    private final StageGraph graph = new StageGraph(route(PICTURES, QUERY, RETRIEVE, RERANK), List.of(2, 1, 2, 3));
 
     @Nested
     class Order {
--- a/kernel/src/test/java/org/pimentovale/kernel/serving/RequestRoutingTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/serving/RequestRoutingTest.java
@@ -16,18 +16,7 @@
 class RequestRoutingTest {
     private static ServingRoute route(String name, String prefix, boolean open, List<WeightedService> services) {
         return new ServingRoute(
-                name,
-                "shop.example",
-                prefix,
-                RequestKind.IDEMPOTENT,
-                600,
-                100,
-                2,
-                services,
-                2,
-                List.of(),
-                open,
-                false);
+                name, "shop.example", prefix, RequestKind.IDEMPOTENT, 600, 100, 2, services, 2, List.of(), open, false);
     }
 
     private static ServingService service(String name) {
--- a/standin/src/main/java/org/pimentovale/standin/fleet/EndpointBehaviour.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/EndpointBehaviour.java
@@ -97,8 +97,7 @@
     BREAK_STREAM {
         @Override
         void answer(NetSocket socket, String attempt) {
-            socket.write(streamHead(attempt) + chunk("id: 1\ndata: one\n\n"))
-                    .onComplete(written -> socket.close());
+            socket.write(streamHead(attempt) + chunk("id: 1\ndata: one\n\n")).onComplete(written -> socket.close());
         }
     },
     /** Streams one event and does not go on. */
--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
@@ -68,9 +68,8 @@
     public synchronized long put(String kind, String name, Object spec) {
         revision++;
         JsonObject before = objects(kind).get(name);
-        long created = before == null
-                ? revision
-                : before.getJsonObject("metadata").getLong("createRevision");
+        long created =
+                before == null ? revision : before.getJsonObject("metadata").getLong("createRevision");
         JsonObject object = new JsonObject()
                 .put(
                         "metadata",
