Start short branches late, count later queues against a stage's due time, hand work back when an owner leaves

Queues moved with each restart. Ruled out: the zone preference (work is urgent there), the endpoints' number.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -106,7 +106,7 @@
                 new EndpointClient(vertx.createHttpClient(clientOptions(false), pool(MOST_CONNECTIONS_PER_HOST)));
         RequestServices services = new RequestServices(vertx, endpoints, platform.endpoints(), stageClient);
         this.callers = new CallerListener(tables, state, platform.callers(), services);
-        this.peerListener = new PeerListener(tables, ownership, state::leaving);
+        this.peerListener = new PeerListener(tables, ownership, state::leaving, clock.nowMs());
     }
 
     private TimedHttpClient timed(boolean keepConnections, int connections, ErrorCode failureCode) {
@@ -224,6 +224,8 @@
         Promise<Void> drained = Promise.promise();
         vertx.runOnContext(run -> {
             state.leave();
+            tables.peers().leave();
+            ownership.handBackAll();
             long startedMs = tables.nowMs();
             Events.info(LOG, "drain_started", "running", state.running(), "tickets", ownership.openTickets());
             source.withdraw(self.name())
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/StagePhase.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/StagePhase.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -9,8 +10,8 @@
 import org.pimentovale.gateway.GatewayTables;
 import org.pimentovale.gateway.stage.StageClient;
 import org.pimentovale.kernel.batch.StageGraph;
+import org.pimentovale.kernel.batch.StageTiming;
 import org.pimentovale.kernel.batch.StageWork;
-import org.pimentovale.kernel.serving.PieceLimits;
 import org.pimentovale.kernel.serving.RouteStage;
 import org.pimentovale.kernel.serving.ServingService;
 import org.pimentovale.log.Events;
@@ -23,20 +24,30 @@
  */
 final class StagePhase {
     private static final Logger LOG = Logger.getLogger(StagePhase.class);
+
+    private final Vertx vertx;
     private final CallerRequest request;
     private final GatewayTables tables;
     private final StageClient stages;
     private final Optional<String> preferredZone;
     private final StageGraph graph;
+    private final StageTiming timing;
     private final List<StageClient.StageRun> running = new ArrayList<>();
     private final Promise<List<String>> inputs = Promise.promise();
 
-    StagePhase(CallerRequest request, GatewayTables tables, StageClient stages, Optional<String> preferredZone) {
+    StagePhase(
+            Vertx vertx,
+            CallerRequest request,
+            GatewayTables tables,
+            StageClient stages,
+            Optional<String> preferredZone) {
+        this.vertx = vertx;
         this.request = request;
         this.tables = tables;
         this.stages = stages;
         this.preferredZone = preferredZone;
         this.graph = new StageGraph(request.routed().route(), request.attempt().pieceCounts());
+        this.timing = new StageTiming(request.routed().route(), graph, service -> fullCallMs(tables, service));
     }
 
     /**
@@ -54,12 +65,24 @@
             inputs.tryComplete(graph.requestInputs());
             return;
         }
-        graph.startReady().forEach(this::startStage);
+        graph.startReady().forEach(this::startInTime);
+    }
+
+    private void startInTime(RouteStage stage) {
+        long delayMs = (long) timing.startDelayMs(stage);
+        if (delayMs <= 0) {
+            startStage(stage);
+        } else {
+            vertx.setTimer(delayMs, fired -> startStage(stage));
+        }
     }
 
     private void startStage(RouteStage stage) {
+        if (inputs.future().isComplete()) {
+            return;
+        }
         long nowMs = tables.nowMs();
-        long afterwardsMs = followersMs(stage)
+        long afterwardsMs = (long) timing.followersMs(stage)
                 + (long)
                         tables.firstEvents().expectedMs(request.routed().route().name());
         StageWork work = new StageWork(
@@ -101,24 +124,12 @@
         });
     }
 
-    /** Time that the stages after this one will need at least. */
-    private long followersMs(RouteStage stage) {
-        double longest = 0;
-        for (RouteStage follower : request.routed().route().stages()) {
-            if (follower.after().contains(stage.number()) && graph.pieces(follower) > 0) {
-                double duration = tables.configuration()
-                        .flatMap(configuration -> configuration.service(follower.service()))
-                        .flatMap(ServingService::pieces)
-                        .map(limits -> typicalMs(limits))
-                        .orElse(0.0);
-                longest = Math.max(longest, duration + followersMs(follower));
-            }
-        }
-        return (long) longest;
-    }
-
-    private static double typicalMs(PieceLimits limits) {
-        return limits.durationMs(limits.piecesPerCall());
+    private static double fullCallMs(GatewayTables tables, String service) {
+        return tables.configuration()
+                .flatMap(configuration -> configuration.service(service))
+                .flatMap(ServingService::pieces)
+                .map(limits -> limits.durationMs(limits.piecesPerCall()))
+                .orElse(0.0);
     }
 
     /** Ends the phase: cancels what runs and releases all results. */
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
@@ -23,11 +23,13 @@
 /** Answers the other gateways. Not thread safe; used on one event loop. */
 public final class PeerListener {
     private static final Logger LOG = Logger.getLogger(PeerListener.class);
+    private static final int STATUS_OK = 200;
     private static final int STATUS_UNAVAILABLE = 503;
 
     private final GatewayTables tables;
     private final StageOwnership ownership;
     private final BooleanSupplier leaving;
+    private final long startedMs;
 
     /**
      * Creates a listener.
@@ -35,11 +37,13 @@
      * @param tables what the gateway knows
      * @param ownership the dispatchers of this gateway
      * @param leaving tells whether this gateway is shutting down
+     * @param startedMs when this gateway started, in milliseconds
      */
-    public PeerListener(GatewayTables tables, StageOwnership ownership, BooleanSupplier leaving) {
+    public PeerListener(GatewayTables tables, StageOwnership ownership, BooleanSupplier leaving, long startedMs) {
         this.tables = tables;
         this.ownership = ownership;
         this.leaving = leaving;
+        this.startedMs = startedMs;
     }
 
     /**
@@ -51,7 +55,8 @@
         switch (http.path()) {
             case PeerPaths.ALIVE ->
                 http.response()
-                        .setStatusCode(leaving.getAsBoolean() ? STATUS_UNAVAILABLE : 200)
+                        .setStatusCode(leaving.getAsBoolean() ? STATUS_UNAVAILABLE : STATUS_OK)
+                        .putHeader(PeerPaths.UPTIME_MS, Long.toString(tables.nowMs() - startedMs))
                         .end();
             case PeerPaths.STAGE_WORK -> http.body().onSuccess(body -> stageWork(http, body.getBytes()));
             case PeerPaths.STAGE_RELEASE -> http.body().onSuccess(body -> stageRelease(http, body.getBytes()));
@@ -76,7 +81,7 @@
         StageDispatcher dispatcher = ownership.dispatcher(work.service());
         Future<List<String>> results = dispatcher.submit(ticket);
         http.response().closeHandler(closed -> dispatcher.cancel(ticket));
-        results.onSuccess(handles -> answer(http, Json.write(new StageAnswer(handles)), 200))
+        results.onSuccess(handles -> answer(http, Json.write(new StageAnswer(handles)), STATUS_OK))
                 .onFailure(failure -> answerProblem(http, ServingException.of(failure)));
     }
 
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerMonitor.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerMonitor.java
@@ -16,6 +16,7 @@
 import org.pimentovale.gateway.GatewayTables;
 import org.pimentovale.gateway.port.InstanceRecord;
 import org.pimentovale.log.Events;
+import org.pimentovale.store.http.HttpAnswer;
 import org.pimentovale.store.http.HttpExchange;
 import org.pimentovale.store.http.TimedHttpClient;
 
@@ -31,6 +32,7 @@
     private static final int TIMEOUT_MS = 220;
     private static final int MOST_MISSES = 2;
     private static final int SILENT_EVERY = 4;
+    private static final long WARM_UP_MS = 3_000;
 
     private final Vertx vertx;
     private final GatewayTables tables;
@@ -85,7 +87,7 @@
         client.call(exchange, MultiMap.caseInsensitiveMultiMap()).onComplete(result -> {
             if (result.succeeded() && result.result().status() == 200) {
                 misses.remove(peer.name());
-                if (tables.peers().recordAnswer(peer.name())) {
+                if (uptimeMs(result.result()) >= WARM_UP_MS && tables.peers().recordAnswer(peer.name())) {
                     Events.info(LOG, "peer_regained", "peer", peer.name());
                 }
             } else if (result.succeeded() || misses.merge(peer.name(), 1, Integer::sum) >= MOST_MISSES) {
@@ -94,6 +96,12 @@
         });
     }
 
+    /** A gateway that was away owns nothing again before its new life has warmed up. */
+    private static long uptimeMs(HttpAnswer answer) {
+        String uptime = answer.headers().get(PeerPaths.UPTIME_MS);
+        return uptime == null ? Long.MAX_VALUE : Long.parseLong(uptime);
+    }
+
     private void lose(String peer, String reason) {
         if (tables.peers().recordSilence(peer, tables.nowMs())) {
             Events.warn(LOG, "peer_lost", "peer", peer, "reason", reason);
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerPaths.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerPaths.java
@@ -9,5 +9,8 @@
     /** Tells whether a gateway takes work. */
     public static final String ALIVE = "/alive";
 
+    /** How long a gateway has run, a header of the answer to {@link #ALIVE}. */
+    public static final String UPTIME_MS = "Uptime-Ms";
+
     private PeerPaths() {}
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerTable.java
@@ -19,6 +19,7 @@
  */
 public final class PeerTable {
     private final InstanceRecord self;
+    private boolean leaving;
     private final Map<String, InstanceRecord> peers = new HashMap<>();
     private final Map<String, Long> silentSinceMs = new HashMap<>();
 
@@ -40,6 +41,20 @@
         return self;
     }
 
+    /** Marks that this gateway shuts down: it owns nothing any more while another one answers. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /**
+     * Tells whether this gateway shuts down.
+     *
+     * @return whether it does
+     */
+    public boolean leaving() {
+        return leaving;
+    }
+
     /**
      * Takes a whole list.
      *
@@ -134,11 +149,13 @@
      * @return the gateway, empty where it is this one
      */
     public Optional<InstanceRecord> owner(String duty) {
-        InstanceRecord first = peers.values().stream()
+        Optional<InstanceRecord> first = peers.values().stream()
                 .filter(peer -> answers(peer.name()))
-                .max(Comparator.comparingLong(peer -> RendezvousHash.weight(duty, peer.name())))
-                .orElse(self);
-        boolean mine = RendezvousHash.weight(duty, self.name()) >= RendezvousHash.weight(duty, first.name());
-        return mine ? Optional.empty() : Optional.of(first);
+                .max(Comparator.comparingLong(peer -> RendezvousHash.weight(duty, peer.name())));
+        if (leaving) {
+            return first;
+        }
+        long ownWeight = RendezvousHash.weight(duty, self.name());
+        return first.filter(peer -> RendezvousHash.weight(duty, peer.name()) > ownWeight);
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageClient.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageClient.java
@@ -121,6 +121,9 @@
         dispatcher.submit(ticket).onComplete(result -> {
             if (result.succeeded()) {
                 run.results.tryComplete(result.result());
+            } else if (ServingException.of(result.cause()).code() == ErrorCode.INSTANCE_DRAINING
+                    && tables.peers().leaving()) {
+                submit(run);
             } else {
                 run.results.tryFail(result.cause());
             }
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
@@ -117,6 +117,13 @@
         return waiting.size();
     }
 
+    /** Hands the tickets back of which nothing has begun, so that another gateway takes them up. */
+    public void handBack() {
+        List<StageTicket> untouched =
+                waiting.keySet().stream().filter(StageTicket::untouched).toList();
+        untouched.forEach(ticket -> fail(ticket, ErrorCode.INSTANCE_DRAINING, "handed back"));
+    }
+
     /** Starts calls while there are pieces and endpoints for them. */
     public void pump() {
         Optional<PieceLimits> limits = limits();
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageOwnership.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageOwnership.java
@@ -37,6 +37,11 @@
         dispatchers.values().forEach(StageDispatcher::pump);
     }
 
+    /** Hands back all work that has not begun. */
+    public void handBackAll() {
+        dispatchers.values().forEach(StageDispatcher::handBack);
+    }
+
     /**
      * Returns how many tickets have not ended.
      *
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageGraph.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageGraph.java
@@ -97,6 +97,16 @@
         return results.size() == stages.size();
     }
 
+    /**
+     * Tells whether a stage has finished.
+     *
+     * @param stage the stage
+     * @return whether its results are there
+     */
+    public boolean finished(RouteStage stage) {
+        return results.containsKey(stage.number());
+    }
+
     /**
      * Returns what the request itself takes.
      *
@@ -125,22 +135,6 @@
         return free;
     }
 
-    /**
-     * Returns the longest chain of stages that have not finished, this one included.
-     *
-     * @param stage the stage
-     * @return the number of stages, one for a stage that nothing follows
-     */
-    public int stagesToEnd(RouteStage stage) {
-        int longest = 0;
-        for (RouteStage follower : route.stages()) {
-            if (follower.after().contains(stage.number())) {
-                longest = Math.max(longest, stagesToEnd(follower));
-            }
-        }
-        return pieces(stage) == 0 ? longest : longest + 1;
-    }
-
     private boolean followersFinished(RouteStage stage) {
         return route.stages().stream()
                 .filter(follower -> follower.after().contains(stage.number()))
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
@@ -13,7 +13,7 @@
  * <p>It answers the load of bursts: a call costs nearly the same however many pieces it holds, so each call is filled
  * from all requests. Work that can still meet its goal goes first, by urgency and then by the time left; work that can
  * only be late fills what remains. Work that prefers an availability zone waits for an endpoint there as long as its goal
- * allows, since results that cross zones cost more than a short wait. Invariant: a piece is handed out once until it is
+ * allows and little waits, since results that cross zones cost more than a short wait. Invariant: a piece is handed out once until it is
  * put back. Not thread safe.
  */
 public final class StageQueue {
@@ -77,9 +77,11 @@
      */
     public List<QueuedPiece> takeCall(PieceLimits limits, long room, String zone, Set<String> zones, long nowMs) {
         double fullCallMs = limits.durationMs(limits.piecesPerCall());
+        boolean backlog = waitingPieces() > zones.size() * limits.piecesPerCall();
         List<StageTicket> order = tickets.stream()
                 .filter(ticket -> ticket.waitingPieces() > 0)
-                .filter(ticket -> mayRunIn(ticket, zone, zones, nowMs + (long) (fullCallMs * ZONE_PATIENCE_CALLS)))
+                .filter(ticket ->
+                        backlog || mayRunIn(ticket, zone, zones, nowMs + (long) (fullCallMs * ZONE_PATIENCE_CALLS)))
                 .sorted(order(nowMs + (long) limits.durationMs(limits.piecesPerCall() / 2)))
                 .toList();
         List<QueuedPiece> call = new ArrayList<>();
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageTicket.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageTicket.java
@@ -75,6 +75,15 @@
         return closed ? 0 : waiting.size();
     }
 
+    /**
+     * Tells whether all pieces still wait.
+     *
+     * @return whether none is in a call or has a result
+     */
+    public boolean untouched() {
+        return waiting.size() == work.pieces();
+    }
+
     int takePiece() {
         return waiting.pollFirst();
     }
