--- a/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
@@ -18,8 +18,8 @@
 /**
  * What a gateway knows: the configuration in force, endpoints, peers, and its part of shared limits.
  *
- * <p>Invariant: the configuration's revision never falls. Not thread safe; used on one event loop, so that no table needs
- * a lock.
+ * <p>Invariant: the configuration's revision never falls. Not thread safe; used on one event loop, so that no table
+ * needs a lock.
  */
 public final class GatewayTables {
     private static final double FIRST_EVENT_MS = 150;
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/CallerAnswer.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/CallerAnswer.java
@@ -12,8 +12,8 @@
 /**
  * Writes the answer to one caller.
  *
- * <p>Invariant: one answer is begun, and an answer that cannot be finished ends with its connection, so that it does not
- * look complete. Not thread safe; used on one event loop.
+ * <p>Invariant: one answer is begun, and an answer that cannot be finished ends with its connection, so that it does
+ * not look complete. Not thread safe; used on one event loop.
  */
 public final class CallerAnswer {
     private static final String RETRY_AFTER = "Retry-After";
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
@@ -28,8 +28,8 @@
  * One request of a caller, from its last byte to the end of its answer.
  *
  * <p>Invariants: a request that may have run is sent on only where its route allows a repeat; a refusal is given only
- * where nothing was sent or each endpoint stated that it has not run the request; the run ends once, and then nothing of
- * it goes on anywhere. Not thread safe; used on one event loop.
+ * where nothing was sent or each endpoint stated that it has not run the request; the run ends once, and then nothing
+ * of it goes on anywhere. Not thread safe; used on one event loop.
  */
 public final class RequestRun {
     private static final Logger LOG = Logger.getLogger(RequestRun.class);
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerMonitor.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerMonitor.java
@@ -23,8 +23,8 @@
 /**
  * Asks the gateways that matter to this one whether they answer: the owners of services, and those that were silent.
  *
- * <p>The number of questions grows with the services, not with the gateways. Invariant: a gateway counts as silent after
- * two questions in a row without an answer. Not thread safe; used on one event loop.
+ * <p>The number of questions grows with the services, not with the gateways. Invariant: a gateway counts as silent
+ * after two questions in a row without an answer. Not thread safe; used on one event loop.
  */
 public final class PeerMonitor {
     private static final Logger LOG = Logger.getLogger(PeerMonitor.class);
--- a/gateway/src/main/java/org/pimentovale/gateway/port/ObjectSource.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ObjectSource.java
@@ -20,7 +20,8 @@
      * @param kind the kind
      * @param revision the revision behind which changes are wanted
      * @param waitMs the longest wait in milliseconds
-     * @return the changes, possibly none; fails with {@link org.pimentovale.error.ErrorCode#HISTORY_LOST} where the store
+     * @return the changes, possibly none; fails with {@link org.pimentovale.error.ErrorCode#HISTORY_LOST} where the
+     *     store
      *     no longer knows all of them
      */
     Future<ObjectChanges> watch(ObjectKind kind, long revision, int waitMs);
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageClient.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageClient.java
@@ -26,8 +26,8 @@
 /**
  * Has the stages of this gateway's requests done by the owners of their services.
  *
- * <p>A piece may be made twice, so work whose owner gives no answer is handed to the next owner. Invariant: the owner of a
- * cancelled stage drops what still waits. Not thread safe; used on one event loop.
+ * <p>A piece may be made twice, so work whose owner gives no answer is handed to the next owner. Invariant: the owner
+ * of a cancelled stage drops what still waits. Not thread safe; used on one event loop.
  */
 public final class StageClient {
     private static final Logger LOG = Logger.getLogger(StageClient.class);
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
@@ -29,9 +29,9 @@
 /**
  * The queue of one service that works on pieces, and the calls that empty it.
  *
- * <p>An endpoint gets its next call when the one before has ended, so that each call holds the most urgent pieces of that
- * moment. Invariant: an endpoint runs at most its concurrent calls of this dispatcher. Not thread safe; used on one event
- * loop.
+ * <p>An endpoint gets its next call when the one before has ended, so that each call holds the most urgent pieces of
+ * that moment. Invariant: an endpoint runs at most its concurrent calls of this dispatcher. Not thread safe; used on
+ * one event loop.
  */
 public final class StageDispatcher {
     private static final Logger LOG = Logger.getLogger(StageDispatcher.class);
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageGraph.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageGraph.java
@@ -12,8 +12,8 @@
 /**
  * The stages of one request: which of them may start, whose results they take, and whose results nobody needs any more.
  *
- * <p>Invariant: a stage starts once, after all stages before it have finished; a stage without pieces counts as finished
- * from the start. Not thread safe.
+ * <p>Invariant: a stage starts once, after all stages before it have finished; a stage without pieces counts as
+ * finished from the start. Not thread safe.
  */
 public final class StageGraph {
     private final ServingRoute route;
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
@@ -12,9 +12,9 @@
  *
  * <p>It answers the load of bursts: a call costs nearly the same however many pieces it holds, so each call is filled
  * from all requests. Work that can still meet its goal goes first, by urgency and then by the time left; work that can
- * only be late fills what remains. Work that prefers an availability zone waits for an endpoint there as long as its goal
- * allows and little waits, since results that cross zones cost more than a short wait. Invariant: a piece is handed out once until it is
- * put back. Not thread safe.
+ * only be late fills what remains. Work that prefers an availability zone waits for an endpoint there as long as its
+ * goal allows and little waits, since results that cross zones cost more than a short wait. Invariant: a piece is
+ * handed out once until it is put back. Not thread safe.
  */
 public final class StageQueue {
     private static final double ZONE_PATIENCE_CALLS = 2.5;
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageTiming.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageTiming.java
@@ -8,8 +8,9 @@
  * When the stages of one request should start, and how much time must be left behind each.
  *
  * <p>It answers bursts. A stage off the longest chain starts late, since its results would only wait for the others and
- * take the room that other requests need; and the time that later stages will take is counted against a stage's due time,
- * so that work which cannot be in time is known at its first queue and not at its last. Immutable and thread safe.
+ * take the room that other requests need; and the time that later stages will take is counted against a stage's due
+ * time, so that work which cannot be in time is known at its first queue and not at its last. Immutable and thread
+ * safe.
  */
 public final class StageTiming {
     private static final double QUEUE_FACTOR = 1.4;
--- a/kernel/src/main/java/org/pimentovale/kernel/endpoint/ColdShare.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/endpoint/ColdShare.java
@@ -8,9 +8,9 @@
 /**
  * Divides what a cold endpoint bears among the instances, by arithmetic alone.
  *
- * <p>A cold endpoint belongs to a few instances by rendezvous; each of them may send it an equal part of its rate. Since
- * lists of instances lag and differ, two sets of owners may be at work for a moment; the endpoint's tolerance covers
- * that. Invariant: an instance that owns a part sends at most one request in its interval. Not thread safe.
+ * <p>A cold endpoint belongs to a few instances by rendezvous; each of them may send it an equal part of its rate.
+ * Since lists of instances lag and differ, two sets of owners may be at work for a moment; the endpoint's tolerance
+ * covers that. Invariant: an instance that owns a part sends at most one request in its interval. Not thread safe.
  */
 public final class ColdShare {
     private static final int MOST_OWNERS = 4;
--- a/kernel/src/main/java/org/pimentovale/kernel/serving/ServingConfiguration.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/serving/ServingConfiguration.java
@@ -11,7 +11,8 @@
 /**
  * A whole configuration: routes, services and workspaces, joined by name.
  *
- * <p>Invariant: the routes of a host stand in order of falling length of their path prefixes. Immutable and thread safe.
+ * <p>Invariant: the routes of a host stand in order of falling length of their path prefixes. Immutable and thread
+ * safe.
  */
 public final class ServingConfiguration {
     private final long version;
