--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -47,6 +47,7 @@
     private static final int CONNECT_TIMEOUT_MS = 250;
     private static final int MOST_CONNECTIONS_PER_HOST = 400;
     private static final int STORE_CONNECTIONS = 16;
+    private static final int RELEASE_CONNECTIONS_PER_HOST = 2;
     private static final int PEER_IDLE_SECONDS = 20;
     private static final int MOST_HEADER_BYTES = 64 * 1_024;
     private static final int ACCEPT_BACKLOG = 1_024;
@@ -96,15 +97,18 @@
         this.source =
                 platform.objects(timed(true, STORE_CONNECTIONS, ErrorCode.STORE_UNAVAILABLE), settings.storeAddress());
         TimedHttpClient endpointCalls = timed(false, MOST_CONNECTIONS_PER_HOST, ErrorCode.CONNECTION_LOST);
+        TimedHttpClient releaseCalls = timed(true, RELEASE_CONNECTIONS_PER_HOST, ErrorCode.CONNECTION_LOST);
         TimedHttpClient peerCalls = timed(true, MOST_CONNECTIONS_PER_HOST, ErrorCode.PEER_UNAVAILABLE);
-        StageCalls stageCalls = new StageCalls(vertx, endpointCalls, tables, platform.stages(), platform.endpoints());
+        StageCalls stageCalls =
+                new StageCalls(vertx, endpointCalls, releaseCalls, tables, platform.stages(), platform.endpoints());
         this.ownership = new StageOwnership(service -> new StageDispatcher(vertx, tables, stageCalls, service));
         this.stageClient = new StageClient(tables, peerCalls, ownership);
         this.follower = new StoreFollower(vertx, source, platform.reader(), tables, random, this::beliefsChanged);
         this.monitor = new PeerMonitor(vertx, tables, peerCalls, this::stageServices, stageClient::peerLost);
         EndpointClient endpoints =
                 new EndpointClient(vertx.createHttpClient(clientOptions(false), pool(MOST_CONNECTIONS_PER_HOST)));
-        RequestServices services = new RequestServices(vertx, endpoints, platform.endpoints(), stageClient);
+        RequestServices services =
+                new RequestServices(vertx, endpoints, platform.endpoints(), stageClient, platform.stages()::addressOf);
         this.callers = new CallerListener(tables, state, platform.callers(), services);
         this.peerListener = new PeerListener(tables, ownership, state::leaving, clock.nowMs());
     }
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
@@ -117,7 +117,8 @@
         // The results are best made where the request will probably run.
         Optional<String> zone =
                 chooseEndpoint(tables.nowMs()).map(endpoint -> endpoint.latest().zone());
-        StagePhase phase = new StagePhase(services.vertx(), request, tables, services.stages(), zone);
+        StagePhase phase =
+                new StagePhase(services.vertx(), request, tables, services.stages(), services.addressOfResult(), zone);
         stagePhase = Optional.of(phase);
         phase.start()
                 .onSuccess(results -> {
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestServices.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestServices.java
@@ -1,6 +1,7 @@
 package org.pimentovale.gateway.caller;
 
 import io.vertx.core.Vertx;
+import java.util.function.UnaryOperator;
 import org.pimentovale.gateway.endpoint.EndpointClient;
 import org.pimentovale.gateway.port.EndpointDialect;
 import org.pimentovale.gateway.stage.StageClient;
@@ -12,5 +13,11 @@
  * @param endpoints sends requests to endpoints
  * @param dialect what endpoints speak
  * @param stages has stages done
+ * @param addressOfResult tells the address of the endpoint that keeps a result
  */
-public record RequestServices(Vertx vertx, EndpointClient endpoints, EndpointDialect dialect, StageClient stages) {}
+public record RequestServices(
+        Vertx vertx,
+        EndpointClient endpoints,
+        EndpointDialect dialect,
+        StageClient stages,
+        UnaryOperator<String> addressOfResult) {}
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/StagePhase.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/StagePhase.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 import org.jboss.logging.Logger;
 import org.pimentovale.gateway.GatewayTables;
 import org.pimentovale.gateway.stage.StageClient;
@@ -29,6 +30,7 @@
     private final CallerRequest request;
     private final GatewayTables tables;
     private final StageClient stages;
+    private final UnaryOperator<String> addressOf;
     private final Optional<String> preferredZone;
     private final StageGraph graph;
     private final StageTiming timing;
@@ -40,11 +42,13 @@
             CallerRequest request,
             GatewayTables tables,
             StageClient stages,
+            UnaryOperator<String> addressOf,
             Optional<String> preferredZone) {
         this.vertx = vertx;
         this.request = request;
         this.tables = tables;
         this.stages = stages;
+        this.addressOf = addressOf;
         this.preferredZone = preferredZone;
         this.graph = new StageGraph(request.routed().route(), request.attempt().pieceCounts());
         this.timing = new StageTiming(request.routed().route(), graph, service -> fullCallMs(tables, service));
@@ -96,7 +100,7 @@
                 Math.max(0, request.goalMs() - nowMs - afterwardsMs),
                 Math.max(1, request.deadlineMs() - nowMs - afterwardsMs),
                 request.routed().priority(),
-                preferredZone);
+                zoneOf(stage));
         StageClient.StageRun run = stages.run(work);
         running.add(run);
         run.results().onComplete(result -> {
@@ -124,6 +128,16 @@
         });
     }
 
+    /** A stage is best done where its inputs are, and one without inputs where the request will run. */
+    private Optional<String> zoneOf(RouteStage stage) {
+        List<String> held = graph.inputs(stage);
+        return held.isEmpty()
+                ? preferredZone
+                : tables.endpoints()
+                        .mostCommonZone(held.stream().map(addressOf).toList())
+                        .or(() -> preferredZone);
+    }
+
     private static double fullCallMs(GatewayTables tables, String service) {
         return tables.configuration()
                 .flatMap(configuration -> configuration.service(service))
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageCalls.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageCalls.java
@@ -37,6 +37,7 @@
 
     private final Vertx vertx;
     private final TimedHttpClient client;
+    private final TimedHttpClient releaseClient;
     private final GatewayTables tables;
     private final StageDialect dialect;
     private final EndpointDialect endpointDialect;
@@ -46,7 +47,8 @@
      * Creates calls.
      *
      * @param vertx runs timers
-     * @param client makes connections
+     * @param client makes a connection for each call
+     * @param releaseClient keeps connections; a release may be lost or come twice
      * @param tables tells the time and the endpoints
      * @param dialect encodes pieces
      * @param endpointDialect decodes heads of answers
@@ -54,11 +56,13 @@
     public StageCalls(
             Vertx vertx,
             TimedHttpClient client,
+            TimedHttpClient releaseClient,
             GatewayTables tables,
             StageDialect dialect,
             EndpointDialect endpointDialect) {
         this.vertx = vertx;
         this.client = client;
+        this.releaseClient = releaseClient;
         this.tables = tables;
         this.dialect = dialect;
         this.endpointDialect = endpointDialect;
@@ -76,6 +80,7 @@
         List<PieceOrder> orders = pieces.stream().map(this::order).toList();
         int timeoutMs = (int) (expectedMs * TIMEOUT_FACTOR) + TIMEOUT_SLACK_MS;
         return post(
+                        client,
                         endpoint.address(),
                         dialect.runPath(),
                         dialect.headers(endpoint.identifier()),
@@ -130,6 +135,7 @@
             return;
         }
         post(
+                        releaseClient,
                         address,
                         dialect.releasePath(),
                         dialect.headers(owner.get().identifier()),
@@ -147,7 +153,8 @@
                         failure.getMessage()));
     }
 
-    private Future<HttpAnswer> post(String address, String path, MultiMap headers, Buffer body, int timeoutMs) {
-        return client.call(new HttpExchange(address, HttpMethod.POST, path, Optional.of(body), timeoutMs), headers);
+    private static Future<HttpAnswer> post(
+            TimedHttpClient sender, String address, String path, MultiMap headers, Buffer body, int timeoutMs) {
+        return sender.call(new HttpExchange(address, HttpMethod.POST, path, Optional.of(body), timeoutMs), headers);
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
@@ -11,12 +11,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.jboss.logging.Logger;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.gateway.GatewayTables;
 import org.pimentovale.gateway.port.PieceResult;
 import org.pimentovale.gateway.port.PieceResult.PieceFailure;
+import org.pimentovale.kernel.batch.CallPlace;
 import org.pimentovale.kernel.batch.QueuedPiece;
 import org.pimentovale.kernel.batch.ResultRoom;
 import org.pimentovale.kernel.batch.StageQueue;
@@ -41,6 +43,7 @@
     private static final double SLOW_FACTOR = 2;
     private static final long SLOWNESS_VALID_MS = 2_500;
     private static final int MOST_FAILURES = 6;
+    private static final double SPARE_ROOM_SHARE = 0.25;
     private static final long MS_PER_SECOND = 1_000;
 
     private final Vertx vertx;
@@ -150,24 +153,17 @@
 
     private boolean startCall(PieceLimits limits, long nowMs) {
         List<EndpointState> usable = tables.endpoints().usable(service);
+        boolean othersFast = usable.stream().anyMatch(endpoint -> !isSlow(endpoint, nowMs));
         List<EndpointState> free = usable.stream()
                 .filter(endpoint -> isFree(endpoint, limits, nowMs))
-                .sorted(preference(nowMs))
+                .filter(endpoint -> !othersFast || !isSlow(endpoint, nowMs))
+                .sorted(Comparator.comparingDouble(EndpointState::slowness))
                 .toList();
-        Set<String> zones =
-                usable.stream().map(endpoint -> endpoint.latest().zone()).collect(Collectors.toSet());
-        boolean othersFast = usable.stream().anyMatch(endpoint -> !isSlow(endpoint, nowMs));
+        Set<String> freeZones = zones(free.stream().filter(endpoint -> hasRoom(endpoint, limits)));
+        Set<String> allZones = zones(usable.stream());
         for (EndpointState endpoint : free) {
-            if (othersFast && isSlow(endpoint, nowMs)) {
-                continue;
-            }
-            String identifier = endpoint.latest().identifier();
-            List<QueuedPiece> pieces = queue.takeCall(
-                    limits,
-                    room.left(identifier, limits.resultMegabytes()),
-                    endpoint.latest().zone(),
-                    zones,
-                    nowMs);
+            CallPlace place = new CallPlace(endpoint.latest().zone(), roomLeft(endpoint, limits), freeZones, allZones);
+            List<QueuedPiece> pieces = queue.takeCall(limits, place, nowMs);
             if (!pieces.isEmpty()) {
                 call(endpoint, pieces, limits);
                 return true;
@@ -176,6 +172,18 @@
         return false;
     }
 
+    private static Set<String> zones(Stream<EndpointState> endpoints) {
+        return endpoints.map(endpoint -> endpoint.latest().zone()).collect(Collectors.toSet());
+    }
+
+    private long roomLeft(EndpointState endpoint, PieceLimits limits) {
+        return room.left(endpoint.latest().identifier(), limits.resultMegabytes());
+    }
+
+    private boolean hasRoom(EndpointState endpoint, PieceLimits limits) {
+        return roomLeft(endpoint, limits) > SPARE_ROOM_SHARE * room.left("", limits.resultMegabytes());
+    }
+
     private boolean isFree(EndpointState endpoint, PieceLimits limits, long nowMs) {
         String identifier = endpoint.latest().identifier();
         return running.getOrDefault(identifier, 0) < limits.concurrentCalls()
@@ -187,11 +195,6 @@
         return endpoint.slowness() > SLOW_FACTOR && nowMs - endpoint.slownessAtMs() < SLOWNESS_VALID_MS;
     }
 
-    private static Comparator<EndpointState> preference(long nowMs) {
-        Comparator<EndpointState> soundFirst = Comparator.comparing(endpoint -> isSlow(endpoint, nowMs));
-        return soundFirst.thenComparingDouble(EndpointState::slowness);
-    }
-
     private void call(EndpointState endpoint, List<QueuedPiece> pieces, PieceLimits limits) {
         String identifier = endpoint.latest().identifier();
         long startedMs = tables.nowMs();
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.pimentovale.kernel.serving.PieceLimits;
 
 /**
@@ -17,7 +16,7 @@
  * handed out once until it is put back. Not thread safe.
  */
 public final class StageQueue {
-    private static final double ZONE_PATIENCE_CALLS = 2.5;
+    private static final double ZONE_PATIENCE_CALLS = 4;
 
     private final List<StageTicket> tickets = new ArrayList<>();
 
@@ -69,23 +68,21 @@
      * Takes the pieces of the next call.
      *
      * @param limits what an endpoint of the service bears
-     * @param room the bytes that the endpoint has for results
-     * @param zone the endpoint's availability zone
-     * @param zones the availability zones of all endpoints that take work
+     * @param place the endpoint and what surrounds it
      * @param nowMs the time in milliseconds
      * @return the pieces, none where nothing is to be done there or the first piece finds no room
      */
-    public List<QueuedPiece> takeCall(PieceLimits limits, long room, String zone, Set<String> zones, long nowMs) {
+    public List<QueuedPiece> takeCall(PieceLimits limits, CallPlace place, long nowMs) {
+        boolean backlog = waitingPieces() > place.allZones().size() * limits.piecesPerCall();
         double fullCallMs = limits.durationMs(limits.piecesPerCall());
-        boolean backlog = waitingPieces() > zones.size() * limits.piecesPerCall();
+        long hurryBeforeMs = backlog ? Long.MAX_VALUE : nowMs + (long) (fullCallMs * ZONE_PATIENCE_CALLS);
         List<StageTicket> order = tickets.stream()
                 .filter(ticket -> ticket.waitingPieces() > 0)
-                .filter(ticket ->
-                        backlog || mayRunIn(ticket, zone, zones, nowMs + (long) (fullCallMs * ZONE_PATIENCE_CALLS)))
+                .filter(ticket -> mayRunAt(ticket, place, hurryBeforeMs))
                 .sorted(order(nowMs + (long) limits.durationMs(limits.piecesPerCall() / 2)))
                 .toList();
         List<QueuedPiece> call = new ArrayList<>();
-        long roomLeft = room;
+        long roomLeft = place.roomBytes();
         for (StageTicket ticket : order) {
             while (ticket.waitingPieces() > 0
                     && call.size() < limits.piecesPerCall()
@@ -97,12 +94,14 @@
         return call;
     }
 
-    private static boolean mayRunIn(StageTicket ticket, String zone, Set<String> zones, long urgentBeforeMs) {
+    private static boolean mayRunAt(StageTicket ticket, CallPlace place, long hurryBeforeMs) {
         Optional<String> preferred = ticket.work().zone();
-        return preferred.isEmpty()
-                || preferred.get().equals(zone)
-                || !zones.contains(preferred.get())
-                || ticket.dueMs() < urgentBeforeMs;
+        if (preferred.isEmpty()
+                || preferred.get().equals(place.zone())
+                || !place.allZones().contains(preferred.get())) {
+            return true;
+        }
+        return !place.freeZones().contains(preferred.get()) && ticket.dueMs() < hurryBeforeMs;
     }
 
     /**
--- a/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -168,6 +169,23 @@
         return Optional.ofNullable(endpoints.get(identifier));
     }
 
+    /**
+     * Returns the availability zone in which most of some addresses stand.
+     *
+     * @param addresses addresses of endpoints
+     * @return the zone, empty where none of the addresses is known
+     */
+    public Optional<String> mostCommonZone(List<String> addresses) {
+        Map<String, Integer> counts = new HashMap<>();
+        for (EndpointState endpoint : endpoints.values()) {
+            int count = Collections.frequency(addresses, endpoint.latest().address());
+            if (count > 0) {
+                counts.merge(endpoint.latest().zone(), count, Integer::sum);
+            }
+        }
+        return counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
+    }
+
     /**
      * Returns all endpoints.
      *
