Finish begun stage work first, keep the room of lost results, refuse long-late work, end on signals

Lines at the shutdown were lost, since the logging library's own hook ran first. Change: begun tickets go first; calls without an answer keep their room until the retention has passed, 0.9 of the room is used; untouched tickets 2.5 s past their goal are refused; signals are handled instead of a shutdown hook; requests that no endpoint runs are refused 2 s before the grace time ends.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -54,7 +54,8 @@
     private static final int ANNOUNCE_RETRY_MS = 700;
     private static final int DRAIN_CHECK_MS = 50;
     private static final int BALANCER_LAG_MS = 2_600;
-    private static final int EXIT_RESERVE_MS = 700;
+    private static final int REFUSE_RESERVE_MS = 2_000;
+    private static final int EXIT_RESERVE_MS = 900;
     private static final int STATUS_UNAVAILABLE = 503;
 
     private final Vertx vertx;
@@ -241,6 +242,9 @@
 
     private void checkDrained(long timer, long startedMs, Promise<Void> drained) {
         long elapsedMs = tables.nowMs() - startedMs;
+        if (elapsedMs >= settings.shutdownMs() - REFUSE_RESERVE_MS) {
+            state.refuseWaiting();
+        }
         boolean idle = state.running() == 0 && ownership.openTickets() == 0 && elapsedMs >= BALANCER_LAG_MS;
         if (idle || elapsedMs >= settings.shutdownMs() - EXIT_RESERVE_MS) {
             vertx.cancelTimer(timer);
--- a/gateway/src/main/java/org/pimentovale/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/GatewayDaemon.java
@@ -20,6 +20,7 @@
 import org.pimentovale.log.Events;
 import org.pimentovale.log.LoggingSetup;
 import org.pimentovale.plugin.PluginRegistry;
+import sun.misc.Signal;
 
 /** The gateway's program. Exit codes: 0 after a shutdown, 1 where it cannot start, 2 for unusable arguments. */
 public final class GatewayDaemon {
@@ -68,7 +69,12 @@
         ServingPlatform platform = new PluginRegistry<>(ServingPlatform.class).get(settings.platform());
         Gateway gateway = new Gateway(
                 vertx, settings, platform, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), new Random());
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(gateway, settings), "shutdown"));
+        // A shutdown hook would run beside the logging library's own, after which no line is written any more.
+        Signal.handle(new Signal("TERM"), signal -> startShutDown(gateway, settings));
+        Signal.handle(new Signal("INT"), signal -> startShutDown(gateway, settings));
+        Signal.handle(
+                new Signal("HUP"),
+                signal -> Events.info(LOG, "settings_signal", "outcome", "settings are read at the next start"));
         vertx.runOnContext(run -> gateway.start().onFailure(failure -> {
             System.err.println("cannot start: " + failure.getMessage());
             Runtime.getRuntime().halt(1);
@@ -83,6 +89,16 @@
         }
     }
 
+    private static void startShutDown(Gateway gateway, GatewaySettings settings) {
+        new Thread(
+                        () -> {
+                            shutDown(gateway, settings);
+                            Runtime.getRuntime().halt(0);
+                        },
+                        "shutdown")
+                .start();
+    }
+
     private static void shutDown(Gateway gateway, GatewaySettings settings) {
         CountDownLatch drained = new CountDownLatch(1);
         gateway.drain().onComplete(done -> drained.countDown());
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/CallerListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/CallerListener.java
@@ -137,7 +137,6 @@
             long mostBytes,
             long arrivedMs) {
         Buffer body = Buffer.buffer();
-        state.begin();
         long patienceMs = attempt.patienceMs().orElse(routed.route().timeoutMs());
         CallerRequest request = new CallerRequest(
                 attempt,
@@ -149,6 +148,7 @@
                 arrivedMs,
                 arrivedMs + Math.min(patienceMs, routed.route().timeoutMs()));
         RequestRun run = new RequestRun(request, answer, tables, services, state::end);
+        state.begin(run);
         http.response().closeHandler(closed -> run.callerLeft());
         http.handler(part -> {
             if (body.length() + part.length() > mostBytes) {
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/GatewayState.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/GatewayState.java
@@ -1,11 +1,15 @@
 package org.pimentovale.gateway.caller;
 
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
 /**
  * Whether a gateway takes new connections, and how many requests run. Not thread safe; used on one event loop.
  */
 public final class GatewayState {
     private boolean leaving;
-    private int running;
+    private final Set<RequestRun> running = new HashSet<>();
 
     /** Marks that the gateway shuts down. */
     public void leave() {
@@ -21,14 +25,27 @@
         return leaving;
     }
 
-    /** Counts a request that begins. */
-    public void begin() {
-        running++;
+    /**
+     * Records a request that begins.
+     *
+     * @param run the request
+     */
+    public void begin(RequestRun run) {
+        running.add(run);
+    }
+
+    /**
+     * Records a request that has ended.
+     *
+     * @param run the request
+     */
+    public void end(RequestRun run) {
+        running.remove(run);
     }
 
-    /** Counts a request that has ended. */
-    public void end() {
-        running--;
+    /** Refuses the requests that no endpoint runs, so that their callers can turn to another gateway in time. */
+    public void refuseWaiting() {
+        List.copyOf(running).forEach(RequestRun::refuseUnlessSent);
     }
 
     /**
@@ -37,6 +54,6 @@
      * @return the number
      */
     public int running() {
-        return running;
+        return running.size();
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.Outcome;
@@ -45,7 +46,7 @@
     private final CallerAnswer answer;
     private final GatewayTables tables;
     private final RequestServices services;
-    private final Runnable onEnd;
+    private final Consumer<RequestRun> onEnd;
     private final Set<String> tried = new HashSet<>();
     private Optional<StagePhase> stagePhase = Optional.empty();
     private Optional<List<String>> stageResults = Optional.empty();
@@ -88,14 +89,14 @@
      * @param answer writes the answer
      * @param tables what the gateway knows
      * @param services what runs need
-     * @param onEnd is run once, at the end
+     * @param onEnd is told of this run once, at its end
      */
     public RequestRun(
             CallerRequest request,
             CallerAnswer answer,
             GatewayTables tables,
             RequestServices services,
-            Runnable onEnd) {
+            Consumer<RequestRun> onEnd) {
         this.request = request;
         this.answer = answer;
         this.tables = tables;
@@ -411,6 +412,13 @@
         fail(failure);
     }
 
+    /** Refuses the request because the gateway ends, unless an endpoint may be running it. */
+    public void refuseUnlessSent() {
+        if (!mayHaveRun && current.filter(call -> call.open).isEmpty()) {
+            fail(ServingException.notRun(ErrorCode.INSTANCE_DRAINING, "shutting down"));
+        }
+    }
+
     private void expire() {
         boolean mayRun = mayHaveRun || current.filter(call -> call.open).isPresent();
         fail(new ServingException(
@@ -444,7 +452,7 @@
         current.ifPresent(EndpointCall::close);
         stagePhase.ifPresent(StagePhase::end);
         log("request_ended", "status", status, "outcome", outcome, "elapsed_ms", tables.nowMs() - request.arrivedMs());
-        onEnd.run();
+        onEnd.accept(this);
     }
 
     private void log(String event, Object... pairs) {
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageCalls.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageCalls.java
@@ -101,8 +101,10 @@
     private ServingException refused(HttpAnswer answer) {
         boolean full = answer.status() == 503
                 && endpointDialect.readHead(answer.status(), answer.headers()).notRun();
-        return ServingException.notRun(
-                full ? ErrorCode.OVERLOADED : ErrorCode.ENDPOINT_FAILED, "status " + answer.status());
+        String detail = "status " + answer.status();
+        return full
+                ? ServingException.notRun(ErrorCode.OVERLOADED, detail)
+                : ServingException.unknown(ErrorCode.ENDPOINT_FAILED, detail);
     }
 
     /**
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
@@ -14,6 +14,7 @@
 import java.util.stream.Stream;
 import org.jboss.logging.Logger;
 import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.Outcome;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.gateway.GatewayTables;
 import org.pimentovale.gateway.port.PieceResult;
@@ -43,6 +44,7 @@
     private static final double SLOW_FACTOR = 2;
     private static final long SLOWNESS_VALID_MS = 2_500;
     private static final int MOST_FAILURES = 6;
+    private static final double USABLE_ROOM_SHARE = 0.9; // sizes of results are approximate
     private static final double SPARE_ROOM_SHARE = 0.25;
     private static final long MS_PER_SECOND = 1_000;
 
@@ -57,6 +59,7 @@
     private final Map<String, Integer> running = new HashMap<>();
     private final Map<String, Long> pausedUntilMs = new HashMap<>();
     private boolean checkScheduled;
+    private long lostResults;
 
     /**
      * Creates a dispatcher with an empty queue.
@@ -177,7 +180,7 @@
     }
 
     private long roomLeft(EndpointState endpoint, PieceLimits limits) {
-        return room.left(endpoint.latest().identifier(), limits.resultMegabytes());
+        return room.left(endpoint.latest().identifier(), limits.resultMegabytes() * USABLE_ROOM_SHARE);
     }
 
     private boolean hasRoom(EndpointState endpoint, PieceLimits limits) {
@@ -225,7 +228,8 @@
                 endpoint.recordSlowness(ratio, tables.nowMs());
                 takeResults(identifier, pieces, result.result(), limits);
             } else {
-                callFailed(endpoint, pieces, ServingException.of(result.cause()));
+                long retentionMs = (long) (limits.retentionSeconds() * MS_PER_SECOND);
+                callFailed(endpoint, pieces, ServingException.of(result.cause()), retentionMs);
             }
             pump();
         });
@@ -273,7 +277,8 @@
         }
     }
 
-    private void callFailed(EndpointState endpoint, List<QueuedPiece> pieces, ServingException failure) {
+    private void callFailed(
+            EndpointState endpoint, List<QueuedPiece> pieces, ServingException failure, long retentionMs) {
         String identifier = endpoint.latest().identifier();
         Events.warn(
                 LOG,
@@ -291,8 +296,16 @@
         } else {
             endpoint.recordFailure(tables.nowMs());
         }
+        boolean notRun = failure.outcome() == Outcome.NOT_RUN;
         for (QueuedPiece piece : pieces) {
-            room.giveBack(identifier, piece.ticket().work().resultBytes());
+            long bytes = piece.ticket().work().resultBytes();
+            if (notRun) {
+                room.giveBack(identifier, bytes);
+            } else {
+                // The endpoint may have made the result and keeps it, though nobody knows its name.
+                lostResults++;
+                room.keep("lost-" + lostResults, identifier, bytes, tables.nowMs() + retentionMs);
+            }
             repeat(piece, failure.code().label());
         }
     }
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
@@ -18,6 +18,8 @@
 public final class StageQueue {
     private static final double ZONE_PATIENCE_CALLS = 4;
 
+    private static final long LATE_PATIENCE_MS = 2_500;
+
     private final List<StageTicket> tickets = new ArrayList<>();
 
     /**
@@ -48,7 +50,8 @@
     }
 
     /**
-     * Removes the tickets whose pieces cannot all be done before their deadline.
+     * Removes the tickets whose pieces cannot all be done before their deadline, and those that have long missed their
+     * goal without any piece begun: their callers learn that at once instead of at their deadline.
      *
      * @param limits what an endpoint of the service bears
      * @param nowMs the time in milliseconds
@@ -57,8 +60,9 @@
     public List<StageTicket> removeHopeless(PieceLimits limits, long nowMs) {
         List<StageTicket> hopeless = tickets.stream()
                 .filter(ticket -> ticket.waitingPieces() > 0)
-                .filter(ticket -> nowMs + limits.durationMs(Math.min(ticket.waitingPieces(), limits.piecesPerCall()))
-                        > ticket.deadlineMs())
+                .filter(ticket -> ticket.untouched() && nowMs > ticket.dueMs() + LATE_PATIENCE_MS
+                        || nowMs + limits.durationMs(Math.min(ticket.waitingPieces(), limits.piecesPerCall()))
+                                > ticket.deadlineMs())
                 .toList();
         tickets.removeAll(hopeless);
         return hopeless;
@@ -119,8 +123,11 @@
     }
 
     private static Comparator<StageTicket> order(long earliestEndMs) {
-        Comparator<StageTicket> missingGoalLast =
-                Comparator.comparingInt(ticket -> ticket.dueMs() < earliestEndMs ? 1 : 0);
-        return missingGoalLast.thenComparingLong(StageTicket::dueMs).thenComparingLong(StageTicket::arrivedMs);
+        // Results of half-finished work take room that nothing else can use until the rest is done.
+        Comparator<StageTicket> begunFirst = Comparator.comparing(StageTicket::untouched);
+        return begunFirst
+                .thenComparingInt(ticket -> ticket.dueMs() < earliestEndMs ? 1 : 0)
+                .thenComparingLong(StageTicket::dueMs)
+                .thenComparingLong(StageTicket::arrivedMs);
     }
 }
--- a/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
+++ b/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
@@ -13,6 +13,8 @@
 /**
  * Makes calls that end within their time-out.
  *
+ * <p>A call that found no connection fails as not run, any other as unknown.
+ *
  * <p>Invariant: the connection of a timed-out or cancelled call is closed and never reused. Thread safe.
  */
 public final class TimedHttpClient {
@@ -61,7 +63,8 @@
                 .setHeaders(headers);
         client.request(options)
                 .onSuccess(request -> send(request, exchange, promise))
-                .onFailure(failure -> promise.tryFail(unavailable(failure)));
+                .onFailure(failure ->
+                        promise.tryFail(ServingException.notRun(failureCode, String.valueOf(failure.getMessage()))));
         long timer = vertx.setTimer(
                 Math.max(1, exchange.timeoutMs()),
                 fired -> promise.tryFail(
