--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -19,6 +20,7 @@
 import org.pimentovale.gateway.caller.RequestServices;
 import org.pimentovale.gateway.endpoint.EndpointClient;
 import org.pimentovale.gateway.feed.StoreFollower;
+import org.pimentovale.gateway.metric.GatewayMetrics;
 import org.pimentovale.gateway.peer.PeerListener;
 import org.pimentovale.gateway.peer.PeerMonitor;
 import org.pimentovale.gateway.peer.PeerTable;
@@ -57,11 +59,13 @@
     private static final int REFUSE_RESERVE_MS = 2_000;
     private static final int EXIT_RESERVE_MS = 900;
     private static final int STATUS_UNAVAILABLE = 503;
+    private static final String METRICS_PATH = "/metrics";
 
     private final Vertx vertx;
     private final GatewaySettings settings;
     private final GatewayTables tables;
     private final GatewayState state = new GatewayState();
+    private final GatewayMetrics metrics = new GatewayMetrics();
     private final ServingPlatform platform;
     private final ObjectSource source;
     private final InstanceRecord self;
@@ -102,15 +106,25 @@
         TimedHttpClient peerCalls = timed(true, MOST_CONNECTIONS_PER_HOST, ErrorCode.PEER_UNAVAILABLE);
         StageCalls stageCalls =
                 new StageCalls(vertx, endpointCalls, releaseCalls, tables, platform.stages(), platform.endpoints());
-        this.ownership = new StageOwnership(service -> new StageDispatcher(vertx, tables, stageCalls, service));
+        this.ownership =
+                new StageOwnership(service -> new StageDispatcher(vertx, tables, stageCalls, metrics, service));
         this.stageClient = new StageClient(tables, peerCalls, ownership);
         this.follower = new StoreFollower(vertx, source, platform.reader(), tables, random, this::beliefsChanged);
         this.monitor = new PeerMonitor(vertx, tables, peerCalls, this::stageServices, stageClient::peerLost);
         EndpointClient endpoints =
                 new EndpointClient(vertx.createHttpClient(clientOptions(false), pool(MOST_CONNECTIONS_PER_HOST)));
-        RequestServices services =
-                new RequestServices(vertx, endpoints, platform.endpoints(), stageClient, platform.stages()::addressOf);
+        RequestServices services = new RequestServices(
+                vertx, endpoints, platform.endpoints(), stageClient, metrics, platform.stages()::addressOf);
         this.callers = new CallerListener(tables, state, platform.callers(), services);
+        metrics.watch(
+                "pimentovale_gateway_configuration_version",
+                "Version of the configuration in force.",
+                () -> tables.configuration().map(ServingConfiguration::version).orElse(-1L));
+        metrics.watch("pimentovale_gateway_requests_running", "Requests that run now.", state::running);
+        metrics.watch(
+                "pimentovale_gateway_stage_tickets",
+                "Stages that wait or run here as an owner.",
+                ownership::openTickets);
         this.peerListener = new PeerListener(tables, ownership, state::leaving, clock.nowMs());
     }
 
@@ -205,6 +219,12 @@
     }
 
     private void answerReadiness(HttpServerRequest http) {
+        if (http.path().equals(METRICS_PATH)) {
+            http.response()
+                    .putHeader("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+                    .end(Buffer.buffer(metrics.render()));
+            return;
+        }
         boolean ready = http.path().equals(platform.callers().readinessPath()) && tables.ready() && !state.leaving();
         http.response().setStatusCode(ready ? 200 : STATUS_UNAVAILABLE).end();
     }
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
@@ -118,8 +118,7 @@
         // The results are best made where the request will probably run.
         Optional<String> zone =
                 chooseEndpoint(tables.nowMs()).map(endpoint -> endpoint.latest().zone());
-        StagePhase phase =
-                new StagePhase(services.vertx(), request, tables, services.stages(), services.addressOfResult(), zone);
+        StagePhase phase = new StagePhase(services, request, tables, zone);
         stagePhase = Optional.of(phase);
         phase.start()
                 .onSuccess(results -> {
@@ -242,6 +241,9 @@
         }
         call.close();
         call.endpoint.recordFailure(tables.nowMs());
+        services.metrics()
+                .endpointFailed(
+                        request.routed().service().name(), failure.code().label());
         log("send_failed", "endpoint", call.endpoint.latest().identifier(), "failure", failure.getMessage());
         if (failure.outcome() == Outcome.NOT_RUN) {
             dispatch();
@@ -299,6 +301,7 @@
     private void refusedByEndpoint(EndpointCall call, AnswerHead head) {
         call.close();
         String identifier = call.endpoint.latest().identifier();
+        services.metrics().endpointFailed(request.routed().service().name(), "refused-" + head.status());
         log("refused_by_endpoint", "endpoint", identifier, "status", head.status());
         if (head.status() == STATUS_OTHER_ENDPOINT) {
             call.endpoint.recordFailure(tables.nowMs());
@@ -362,6 +365,7 @@
                         services.dialect().answerHeaders(response.headers())));
                 long waitedMs = tables.nowMs() - call.sentMs;
                 tables.firstEvents().record(request.routed().route().name(), waitedMs);
+                services.metrics().streamBegun(request.routed().route().name(), waitedMs);
                 log("stream_begun", "endpoint", call.endpoint.latest().identifier(), "waited_ms", waitedMs);
                 stagePhase.ifPresent(StagePhase::end);
             }
@@ -451,10 +455,18 @@
         services.vertx().cancelTimer(deadlineTimer);
         current.ifPresent(EndpointCall::close);
         stagePhase.ifPresent(StagePhase::end);
-        log("request_ended", "status", status, "outcome", outcome, "elapsed_ms", tables.nowMs() - request.arrivedMs());
+        long elapsedMs = tables.nowMs() - request.arrivedMs();
+        services.metrics().requestEnded(request.routed().route().name(), status, label(outcome), elapsedMs);
+        log("request_ended", "status", status, "outcome", outcome, "elapsed_ms", elapsedMs);
         onEnd.accept(this);
     }
 
+    /** The beginning of an outcome is its code; the rest names what was met. */
+    private static String label(String outcome) {
+        int colon = outcome.indexOf(':');
+        return colon < 0 ? outcome : outcome.substring(0, colon);
+    }
+
     private void log(String event, Object... pairs) {
         Object[] all = new Object[pairs.length + 6];
         all[0] = "request";
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestServices.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestServices.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import java.util.function.UnaryOperator;
 import org.pimentovale.gateway.endpoint.EndpointClient;
+import org.pimentovale.gateway.metric.GatewayMetrics;
 import org.pimentovale.gateway.port.EndpointDialect;
 import org.pimentovale.gateway.stage.StageClient;
 
@@ -13,6 +14,7 @@
  * @param endpoints sends requests to endpoints
  * @param dialect what endpoints speak
  * @param stages has stages done
+ * @param metrics counts what happens
  * @param addressOfResult tells the address of the endpoint that keeps a result
  */
 public record RequestServices(
@@ -20,4 +22,5 @@
         EndpointClient endpoints,
         EndpointDialect dialect,
         StageClient stages,
+        GatewayMetrics metrics,
         UnaryOperator<String> addressOfResult) {}
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/StagePhase.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/StagePhase.java
@@ -9,6 +9,7 @@
 import java.util.function.UnaryOperator;
 import org.jboss.logging.Logger;
 import org.pimentovale.gateway.GatewayTables;
+import org.pimentovale.gateway.metric.GatewayMetrics;
 import org.pimentovale.gateway.stage.StageClient;
 import org.pimentovale.kernel.batch.StageGraph;
 import org.pimentovale.kernel.batch.StageTiming;
@@ -27,6 +28,7 @@
     private static final Logger LOG = Logger.getLogger(StagePhase.class);
 
     private final Vertx vertx;
+    private final GatewayMetrics metrics;
     private final CallerRequest request;
     private final GatewayTables tables;
     private final StageClient stages;
@@ -37,18 +39,13 @@
     private final List<StageClient.StageRun> running = new ArrayList<>();
     private final Promise<List<String>> inputs = Promise.promise();
 
-    StagePhase(
-            Vertx vertx,
-            CallerRequest request,
-            GatewayTables tables,
-            StageClient stages,
-            UnaryOperator<String> addressOf,
-            Optional<String> preferredZone) {
-        this.vertx = vertx;
+    StagePhase(RequestServices services, CallerRequest request, GatewayTables tables, Optional<String> preferredZone) {
+        this.vertx = services.vertx();
+        this.metrics = services.metrics();
         this.request = request;
         this.tables = tables;
-        this.stages = stages;
-        this.addressOf = addressOf;
+        this.stages = services.stages();
+        this.addressOf = services.addressOfResult();
         this.preferredZone = preferredZone;
         this.graph = new StageGraph(request.routed().route(), request.attempt().pieceCounts());
         this.timing = new StageTiming(request.routed().route(), graph, service -> fullCallMs(tables, service));
@@ -107,6 +104,7 @@
             running.remove(run);
             if (result.succeeded()) {
                 graph.finish(stage, result.result());
+                metrics.stageDone(stage.service(), tables.nowMs() - nowMs);
                 Events.info(
                         LOG,
                         "stage_done",
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
@@ -17,6 +17,7 @@
 import org.pimentovale.error.Outcome;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.gateway.GatewayTables;
+import org.pimentovale.gateway.metric.GatewayMetrics;
 import org.pimentovale.gateway.port.PieceResult;
 import org.pimentovale.gateway.port.PieceResult.PieceFailure;
 import org.pimentovale.kernel.batch.CallPlace;
@@ -51,6 +52,7 @@
     private final Vertx vertx;
     private final GatewayTables tables;
     private final StageCalls calls;
+    private final GatewayMetrics metrics;
     private final String service;
     private final StageQueue queue = new StageQueue();
     private final ResultRoom room = new ResultRoom();
@@ -67,12 +69,15 @@
      * @param vertx runs timers
      * @param tables what the gateway knows
      * @param calls makes the calls
+     * @param metrics counts calls
      * @param service the service's name
      */
-    public StageDispatcher(Vertx vertx, GatewayTables tables, StageCalls calls, String service) {
+    public StageDispatcher(
+            Vertx vertx, GatewayTables tables, StageCalls calls, GatewayMetrics metrics, String service) {
         this.vertx = vertx;
         this.tables = tables;
         this.calls = calls;
+        this.metrics = metrics;
         this.service = service;
     }
 
@@ -206,6 +211,7 @@
                 .sum();
         room.reserve(identifier, bytes);
         running.merge(identifier, 1, Integer::sum);
+        metrics.stageCalled(service, pieces.size());
         double expectedMs = limits.durationMs(pieces.size()) * Math.max(1, endpoint.slowness());
         Events.info(
                 LOG,
@@ -280,6 +286,7 @@
     private void callFailed(
             EndpointState endpoint, List<QueuedPiece> pieces, ServingException failure, long retentionMs) {
         String identifier = endpoint.latest().identifier();
+        metrics.endpointFailed(service, failure.code().label());
         Events.warn(
                 LOG,
                 "stage_call_failed",
--- a/model/src/main/java/org/pimentovale/error/ServingException.java
+++ b/model/src/main/java/org/pimentovale/error/ServingException.java
@@ -64,8 +64,17 @@
         if (other == outcome) {
             return this;
         }
+        return new ServingException(code, other, detail());
+    }
+
+    /**
+     * Returns what exactly was met.
+     *
+     * @return the message without the code
+     */
+    public String detail() {
         String message = getMessage();
-        return new ServingException(code, other, message.substring(message.indexOf(": ") + 2));
+        return message.substring(message.indexOf(": ") + 2);
     }
 
     /**
