--- a/gateway/src/main/java/org/pimentovale/gateway/caller/CallerListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/CallerListener.java
@@ -28,7 +28,10 @@
     private final GatewayState state;
     private final CallerDialect dialect;
     private final RequestServices services;
-    private final List<Runnable> held = new ArrayList<>();
+    private final List<HeldRequest> held = new ArrayList<>();
+
+    /** A request that waits for the first reading of the store. */
+    private record HeldRequest(HttpServerRequest http, long arrivedMs) {}
 
     /**
      * Creates a listener.
@@ -58,30 +61,29 @@
         }
         // A new life knows the configuration a moment after it opens; a short wait serves its first callers.
         http.pause();
-        boolean[] admitted = {false};
-        Runnable once = () -> {
-            if (!admitted[0]) {
-                admitted[0] = true;
-                admit(http, arrivedMs);
-                http.resume();
-            }
-        };
-        held.add(once);
+        HeldRequest request = new HeldRequest(http, arrivedMs);
+        held.add(request);
         services.vertx().setTimer(LONGEST_HOLD_MS, fired -> {
-            held.remove(once);
-            once.run();
+            if (held.remove(request)) {
+                admitHeld(request);
+            }
         });
     }
 
     /** Admits the requests that were held, once what serves them is known. */
     public void admitHeld() {
         if (!held.isEmpty() && tables.ready()) {
-            List<Runnable> ready = List.copyOf(held);
+            List<HeldRequest> ready = List.copyOf(held);
             held.clear();
-            ready.forEach(Runnable::run);
+            ready.forEach(this::admitHeld);
         }
     }
 
+    private void admitHeld(HeldRequest request) {
+        admit(request.http(), request.arrivedMs());
+        request.http().resume();
+    }
+
     private void admit(HttpServerRequest http, long arrivedMs) {
         CallerAnswer answer = new CallerAnswer(http, state::leaving);
         try {
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
@@ -197,12 +197,7 @@
         sentBefore = true;
         tried.add(identifier);
         Dispatch dispatch = new Dispatch(
-                identifier,
-                leftMs,
-                request.routed().workspace().map(workspace -> workspace.name()),
-                stageResults,
-                Optional.empty(),
-                Optional.empty());
+                identifier, leftMs, request.routed().workspace().map(workspace -> workspace.name()), stageResults);
         EndpointCall call = new EndpointCall(
                 endpoint,
                 services.endpoints()
--- a/gateway/src/main/java/org/pimentovale/gateway/port/CallerAttempt.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/CallerAttempt.java
@@ -14,7 +14,6 @@
  * @param pieceCounts the number of pieces of each stage, in the order of the stages
  * @param pieceKey names what the first stages work on
  * @param prompt the parts of the prompt, in order; the last belongs to the request itself
- * @param outputTokens the largest number of tokens to generate
  */
 public record CallerAttempt(
         String identifier,
@@ -22,8 +21,7 @@
         Optional<String> key,
         List<Integer> pieceCounts,
         Optional<String> pieceKey,
-        List<PromptPart> prompt,
-        int outputTokens) {
+        List<PromptPart> prompt) {
     /** Copies the lists. */
     public CallerAttempt {
         pieceCounts = List.copyOf(pieceCounts);
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
@@ -60,7 +60,7 @@
     public List<StageTicket> removeHopeless(PieceLimits limits, long nowMs) {
         List<StageTicket> hopeless = tickets.stream()
                 .filter(ticket -> ticket.waitingPieces() > 0)
-                .filter(ticket -> ticket.untouched() && nowMs > ticket.dueMs() + LATE_PATIENCE_MS
+                .filter(ticket -> (ticket.untouched() && nowMs > ticket.dueMs() + LATE_PATIENCE_MS)
                         || nowMs + limits.durationMs(Math.min(ticket.waitingPieces(), limits.piecesPerCall()))
                                 > ticket.deadlineMs())
                 .toList();
@@ -108,20 +108,6 @@
         return !place.freeZones().contains(preferred.get()) && ticket.dueMs() < hurryBeforeMs;
     }
 
-    /**
-     * Estimates how long new work would wait.
-     *
-     * @param limits what an endpoint of the service bears
-     * @param endpoints the endpoints that take work
-     * @return milliseconds until a new piece would be in a call
-     */
-    public double estimatedWaitMs(PieceLimits limits, int endpoints) {
-        double calls = Math.floor(waitingPieces() / (double) limits.piecesPerCall());
-        return endpoints == 0
-                ? Double.POSITIVE_INFINITY
-                : calls * limits.durationMs(limits.piecesPerCall()) / (endpoints * limits.concurrentCalls());
-    }
-
     private static Comparator<StageTicket> order(long earliestEndMs) {
         // Results of half-finished work take room that nothing else can use until the rest is done.
         Comparator<StageTicket> begunFirst = Comparator.comparing(StageTicket::untouched);
--- a/kernel/src/main/java/org/pimentovale/kernel/serving/PieceLimits.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/serving/PieceLimits.java
@@ -4,7 +4,6 @@
  * What one endpoint of a service that works on pieces bears.
  *
  * @param concurrentCalls calls in progress at the same time
- * @param waitingCalls calls that may wait besides
  * @param piecesPerCall the largest number of pieces in a call
  * @param callMs the time that a call takes besides its pieces
  * @param pieceMs the approximate time of a piece
@@ -13,7 +12,6 @@
  */
 public record PieceLimits(
         int concurrentCalls,
-        int waitingCalls,
         int piecesPerCall,
         double callMs,
         double pieceMs,
--- a/kernel/src/test/java/org/pimentovale/kernel/batch/StageQueueTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/batch/StageQueueTest.java
@@ -10,7 +10,7 @@
 import org.pimentovale.kernel.serving.PieceLimits;
 
 class StageQueueTest {
-    private static final PieceLimits LIMITS = new PieceLimits(1, 2, 6, 150, 20, 27, 4);
+    private static final PieceLimits LIMITS = new PieceLimits(1, 6, 150, 20, 27, 4);
     private static final long ROOM = 27_000_000;
     private static final Set<String> ZONES = Set.of("north", "south");
 
--- a/kernel/src/test/java/org/pimentovale/kernel/serving/RequestRoutingTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/serving/RequestRoutingTest.java
@@ -20,7 +20,7 @@
     }
 
     private static ServingService service(String name) {
-        return new ServingService(name, "/health", 100, 0, Optional.empty(), Optional.empty());
+        return new ServingService(name, 0, Optional.empty());
     }
 
     private static final List<WeightedService> DESK = List.of(new WeightedService("desk", 1));
