--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
@@ -222,7 +222,7 @@
         if (route.kind() != RequestKind.IDEMPOTENT || endpointsThatMayHaveRun + 1 >= route.maximumEndpoints()) {
             return;
         }
-        long silenceMs = Math.max(1, (long) (route.goalMs() * SILENCE_SHARE_OF_GOAL));
+        long silenceMs = Math.max(1, Math.round(route.goalMs() * SILENCE_SHARE_OF_GOAL));
         call.silenceTimer = services.vertx()
                 .setTimer(
                         silenceMs,
@@ -359,7 +359,7 @@
                         response.statusMessage(),
                         services.dialect().answerHeaders(response.headers())));
                 long waitedMs = tables.nowMs() - call.sentMs;
-                tables.firstEvents().record(request.routed().route().name(), waitedMs);
+                tables.firstEvents().record(request.routed().route().name(), (double) waitedMs);
                 services.metrics().streamBegun(request.routed().route().name(), waitedMs);
                 log("stream_begun", "endpoint", call.endpoint.latest().identifier(), "waited_ms", waitedMs);
                 stagePhase.ifPresent(StagePhase::end);
--- a/gateway/src/main/java/org/pimentovale/gateway/metric/GatewayMetrics.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/metric/GatewayMetrics.java
@@ -125,7 +125,7 @@
         GaugeWithCallback.builder()
                 .name(name)
                 .help(help)
-                .callback(callback -> callback.call(value.getAsLong()))
+                .callback(callback -> callback.call((double) value.getAsLong()))
                 .register(registry);
     }
 
