Count only answers of the present incarnation towards a cold endpoint's warmth

Cause: WarmthTable counted every answer by address. An answer of the incarnation before a restart, read late on a busy machine after a handshake had shown the new incarnation, counted for the new one; it was then called warm an answer too early and got its full share. Change: an answer carries the incarnation of its connection; others are passed over.

--- a/daemon/src/main/java/org/pimentovale/daemon/caller/StageRun.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/StageRun.java
@@ -18,6 +18,7 @@
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.kernel.ServingTables;
+import org.pimentovale.kernel.endpoint.WarmEndpoint;
 import org.pimentovale.kernel.retry.RetryReason;
 import org.pimentovale.kernel.schedule.CallResult;
 import org.pimentovale.kernel.schedule.Grant;
@@ -249,7 +250,7 @@
             exchange = Optional.empty();
             long spentMs = tables.clock().nowMs() - dispatchedMs;
             return result.succeeded()
-                    ? answered(scheduler, grant, result.result(), spentMs)
+                    ? answered(scheduler, grant, connection, result.result(), spentMs)
                     : failed(scheduler, grant, connection, ServingException.of(result.cause()), spentMs);
         });
     }
@@ -269,12 +270,15 @@
                 request.deadlineAtMs() - nowMs);
     }
 
-    private Future<StageResult> answered(PoolScheduler scheduler, Grant grant, StageResult result, long spentMs) {
+    private Future<StageResult> answered(
+            PoolScheduler scheduler, Grant grant, EndpointConnection connection, StageResult result, long spentMs) {
         scheduler.release(grant, CallResult.answered(spentMs));
         services.metrics().attemptAnswered(stage.name(), spentMs);
         note("attempt_answered", grant.endpoint().address(), "spent_ms", spentMs);
         tables.warmth()
-                .answered(grant.endpoint().address(), tables.clock().nowMs())
+                .answered(
+                        new WarmEndpoint(connection.address(), connection.incarnation()),
+                        tables.clock().nowMs())
                 .ifPresent(services.news()::becameWarm);
         if (lossSeen) {
             tables.suspects().clear(request.fingerprint());
--- a/kernel/src/main/java/org/pimentovale/kernel/endpoint/WarmthTable.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/endpoint/WarmthTable.java
@@ -213,15 +213,20 @@
     }
 
     /**
-     * Records an answer of a cold endpoint.
+     * Records an answer of a cold endpoint. An answer of an earlier incarnation may be read after the endpoint came
+     * back; it says nothing of the incarnation that runs now and is passed over.
      *
-     * @param address the endpoint
+     * @param endpoint the endpoint and the incarnation that answered
      * @param nowMs the time
      * @return the news that it is warm now, or empty
      */
-    public synchronized Optional<WarmEndpoint> answered(String address, long nowMs) {
+    public synchronized Optional<WarmEndpoint> answered(WarmEndpoint endpoint, long nowMs) {
+        String address = endpoint.address();
         Entry entry = entries.get(address);
-        if (entry == null || !entry.verified || verifiedWarmth(address, entry) == Warmth.WARM) {
+        if (entry == null
+                || !entry.verified
+                || !entry.incarnation.equals(endpoint.incarnation())
+                || verifiedWarmth(address, entry) == Warmth.WARM) {
             return Optional.empty();
         }
         entry.answered++;
