A stage call answered 421 has not run

Change: whatever the endpoint's head states counts; 503 alone means full. Test: StageCallsTest; thatReachedAnotherEndpointHasNotRun was red before the change.

--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageCalls.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageCalls.java
@@ -34,6 +34,7 @@
     private static final int RELEASE_TIMEOUT_MS = 500;
     private static final int RELEASE_DELAY_MS = 10;
     private static final int STATUS_OK = 200;
+    private static final int STATUS_UNAVAILABLE = 503;
 
     private final Vertx vertx;
     private final TimedHttpClient client;
@@ -74,7 +75,8 @@
      * @param endpoint where
      * @param pieces the pieces
      * @param expectedMs how long the call should take
-     * @return one result a piece; fails with {@link ErrorCode#OVERLOADED} where the endpoint did not take the call
+     * @return one result a piece; fails as not run where the endpoint says so, with
+     *     {@link ErrorCode#OVERLOADED} where it was full
      */
     public Future<List<PieceResult>> run(EndpointRecord endpoint, List<QueuedPiece> pieces, double expectedMs) {
         List<PieceOrder> orders = pieces.stream().map(this::order).toList();
@@ -99,12 +101,12 @@
     }
 
     private ServingException refused(HttpAnswer answer) {
-        boolean full = answer.status() == 503
-                && endpointDialect.readHead(answer.status(), answer.headers()).notRun();
         String detail = "status " + answer.status();
-        return full
-                ? ServingException.notRun(ErrorCode.OVERLOADED, detail)
-                : ServingException.unknown(ErrorCode.ENDPOINT_FAILED, detail);
+        if (!endpointDialect.readHead(answer.status(), answer.headers()).notRun()) {
+            return ServingException.unknown(ErrorCode.ENDPOINT_FAILED, detail);
+        }
+        ErrorCode code = answer.status() == STATUS_UNAVAILABLE ? ErrorCode.OVERLOADED : ErrorCode.ENDPOINT_FAILED;
+        return ServingException.notRun(code, detail);
     }
 
     /**
