Publish an endpoint as warm only when it is known to be warm

Cause: the holder of a warm-up lease published the incarnation as warm as soon as the endpoint was no longer listed as cold. An endpoint that turned unverified, as the old connections' ends are read after the new incarnation was seen, is not listed either. Change: WarmthTable.knownWarm decides. WarmupLeasesTest; saysNothingOfAnEndpointThatItCannotVerify was red before.

--- a/daemon/src/main/java/org/pimentovale/daemon/warmup/WarmupLeases.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/warmup/WarmupLeases.java
@@ -107,7 +107,8 @@
         }
     }
 
-    private void check() {
+    /** Looks at every endpoint once; called periodically. */
+    void check() {
         if (leaving) {
             return;
         }
@@ -118,10 +119,9 @@
                 checkCold(endpoint, state);
             }
         }
-        progress.forEach((address, state) -> {
+        progress.values().forEach(state -> {
             synchronized (state) {
-                boolean stillCold = cold.contains(state.endpoint);
-                if (state.held && !state.writing && !stillCold) {
+                if (state.held && !state.writing && tables.warmth().knownWarm(state.endpoint)) {
                     publish(state, WarmupLease.State.WARM);
                 }
             }
--- /dev/null
+++ b/daemon/src/test/java/org/pimentovale/daemon/warmup/WarmupLeasesTest.java
@@ -0,0 +1,109 @@
+package org.pimentovale.daemon.warmup;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pimentovale.daemon.claim.StoreHealth;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.kernel.ServingTables;
+import org.pimentovale.kernel.endpoint.LoadReport;
+import org.pimentovale.kernel.endpoint.WarmEndpoint;
+import org.pimentovale.kernel.endpoint.Warmth;
+import org.pimentovale.kernel.membership.Member;
+import org.pimentovale.kernel.membership.MemberTable;
+import org.pimentovale.kernel.routing.LeastInFlightPolicy;
+import org.pimentovale.kernel.schedule.Grant;
+import org.pimentovale.kernel.schedule.GrantListener;
+import org.pimentovale.kernel.schedule.StageWork;
+import org.pimentovale.store.EmbeddedPlatform;
+import org.pimentovale.store.MemoryObjectTable;
+import org.pimentovale.table.Configuration;
+import org.pimentovale.table.Endpoint;
+import org.pimentovale.table.Pool;
+import org.pimentovale.table.Tables;
+import org.pimentovale.table.Urgency;
+
+class WarmupLeasesTest {
+    private static final String ADDRESS = "127.0.0.1:9000";
+    private static final WarmEndpoint ENDPOINT = new WarmEndpoint(ADDRESS, "first");
+    private static final Pool POOL = new Pool(
+            "pool", "chat", "", 16, 2, 6, 0, 1_000, 100, false, List.of(), List.of(new Endpoint(ADDRESS, "zone-a")));
+
+    private final Vertx vertx = Vertx.vertx();
+    private final MemoryObjectTable objects = new MemoryObjectTable();
+    private final ServingTables tables = new ServingTables(
+            () -> 1_000,
+            number -> new SplittableRandom(number),
+            new LeastInFlightPolicy(),
+            new MemberTable(new Member("entry-0", "zone-a", "", "")),
+            100);
+    private final WarmupLeases leases =
+            new WarmupLeases(vertx, new EmbeddedPlatform(vertx, objects), new StoreHealth(tables.clock()), tables);
+
+    @BeforeEach
+    void takeTheLeaseOfAColdEndpoint() {
+        tables.configuration()
+                .offer(Configuration.NONE.next("change", new Tables(List.of(), List.of(POOL)), List.of()));
+        verify();
+        demand();
+        leases.check();
+        assertThat(storedState()).isEqualTo(WarmupLease.State.HELD);
+    }
+
+    @AfterEach
+    void close() {
+        vertx.close();
+    }
+
+    private void verify() {
+        tables.observe(ADDRESS, new LoadReport(ENDPOINT.incarnation(), 0, Optional.empty()), 1_000);
+    }
+
+    private void demand() {
+        StageWork work = new StageWork("request", "one", Urgency.INTERACTIVE, 60_000, 0, 0, Set.of(), false);
+        tables.scheduler(POOL.name()).orElseThrow().submit(work, new GrantListener() {
+            @Override
+            public void granted(Grant grant) {
+                // The request keeps its place until the end of the test.
+            }
+
+            @Override
+            public void refused(ErrorCode code, long retryAfterMs) {
+                throw new AssertionError(code);
+            }
+        });
+    }
+
+    private WarmupLease.State storedState() {
+        return WarmupLease.parse(objects.list("warmups").get(0).value()).state();
+    }
+
+    @Nested
+    class TheHolderOfALease {
+        @Test
+        void saysNothingOfAnEndpointThatItCannotVerify() {
+            tables.warmth().connectionLost(ADDRESS);
+            leases.check();
+            assertThat(storedState()).isEqualTo(WarmupLease.State.HELD);
+
+            verify();
+            leases.check();
+            assertThat(tables.warmth().warmth(ADDRESS)).isEqualTo(Warmth.COLD);
+        }
+
+        @Test
+        void publishesThatTheEndpointIsWarm() {
+            tables.warmth().learnWarm(ENDPOINT);
+            leases.check();
+            assertThat(storedState()).isEqualTo(WarmupLease.State.WARM);
+        }
+    }
+}
--- a/kernel/src/main/java/org/pimentovale/kernel/endpoint/WarmthTable.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/endpoint/WarmthTable.java
@@ -122,6 +122,17 @@
         return Warmth.WARM;
     }
 
+    /**
+     * Tells whether somebody reported an incarnation as warm; that it is not cold is not enough, as an endpoint that
+     * nobody can verify is neither.
+     *
+     * @param endpoint the endpoint and the incarnation
+     * @return whether that incarnation is warm
+     */
+    public synchronized boolean knownWarm(WarmEndpoint endpoint) {
+        return endpoint.incarnation().equals(warmIncarnations.get(endpoint.address()));
+    }
+
     /**
      * Returns the incarnation that was seen last.
      *
