Instances that read the same report share the room that it shows

Cause: beyond its share, an instance filled an endpoint up to the limit less half a request for each other instance. Change: beyond its share an instance takes its part of the room that the report shows. Test: theyStayWithinTheLimitThoughAllReadTheSameReport, red before.

--- a/kernel/src/main/java/org/pimentovale/kernel/schedule/EndpointState.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/schedule/EndpointState.java
@@ -74,15 +74,22 @@
         return Math.max(inFlight, reportedInFlight + inFlight - ownAtReport);
     }
 
-    /** Tells whether a warm endpoint may take one more request of this instance. */
+    /**
+     * Tells whether a warm endpoint may take one more request of this instance.
+     *
+     * <p>An instance may always use its share of the limit. Beyond that it may use its part of the room that a fresh
+     * report shows, since every other instance may read the same report; together they exceed the limit by less than
+     * one request an instance.
+     */
     boolean hasRoom(int limit, int instances, long nowMs) {
-        int share = (int) Math.max(1, Math.ceil(limit * limitFactor / instances));
+        double borne = limit * limitFactor;
+        int share = (int) Math.max(1, Math.ceil(borne / instances));
         if (inFlight < share) {
             return true;
         }
         boolean fresh = reported && nowMs - reportedAtMs <= REPORT_LIFETIME_MS;
-        // Every other instance may use the same lagging report to take one more at the same time.
-        return fresh && totalInFlight(nowMs) + (instances - 1) / 2.0 < limit * limitFactor;
+        double ownPartOfRoom = Math.ceil(Math.max(0, borne - reportedInFlight) / instances);
+        return fresh && inFlight + 1 <= ownAtReport + ownPartOfRoom;
     }
 
     void report(int totalInFlight, long nowMs) {
--- a/kernel/src/test/java/org/pimentovale/kernel/schedule/PoolSchedulerTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/schedule/PoolSchedulerTest.java
@@ -40,13 +40,17 @@
         private long nowMs = 1_000;
 
         Bench(int endpoints, int coldLimit) {
+            this(endpoints, LIMIT, coldLimit);
+        }
+
+        Bench(int endpoints, int limit, int coldLimit) {
             List<Endpoint> list = new ArrayList<>();
             Map<String, WarmupRule> rules = new HashMap<>();
             for (int position = 0; position < endpoints; position++) {
                 list.add(new Endpoint("host:" + position, "zone-" + position % 2));
                 rules.put("host:" + position, new WarmupRule(coldLimit, 2, 0));
             }
-            pool = new Pool("pool", "service", "", LIMIT, coldLimit, 2, 0, 1_000, 100, false, List.of(), list);
+            pool = new Pool("pool", "service", "", limit, coldLimit, 2, 0, 1_000, 100, false, List.of(), list);
             warmth.retain(rules);
             scheduler = new PoolScheduler(
                     pool,
@@ -302,6 +306,19 @@
             bench.scheduler.tick();
             assertThat(bench.grants).hasSize(2);
         }
+
+        @Test
+        void theyStayWithinTheLimitThoughAllReadTheSameReport() {
+            int limit = 16;
+            int instances = 3;
+            Bench bench = new Bench(1, limit, limit).warm();
+            bench.scheduler.apply(bench.pool, Bench.surroundings(Set.of(), instances));
+            bench.scheduler.report("host:0", 0);
+            for (int position = 0; position < limit; position++) {
+                bench.submit("one", Urgency.INTERACTIVE, 60_000);
+            }
+            assertThat(bench.grants.size() * instances).isLessThan(limit + instances);
+        }
     }
 
     @Property(tries = 300, seed = "42")
