Feeds let changes gather before they ask again

Most changes are other gateways' entries at the start and endpoints' entries. Change: after changes, the next call waits 1 s for gateways' entries and 5 ms a gateway, 400 at most, for endpoints'.

--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -30,7 +30,7 @@
     private final Vertx vertx;
     private final ObjectSource source;
     private final ObjectKind kind;
-    private final int waitMs;
+    private final FeedPace pace;
     private final FeedListener listener;
     private final RandomGenerator random;
     private long revision = -1;
@@ -44,7 +44,7 @@
      * @param vertx runs timers
      * @param source the store
      * @param kind the kind to follow
-     * @param waitMs how long one wait for changes lasts at most, in milliseconds
+     * @param pace how often the store is asked
      * @param listener hears what is learnt
      * @param random spreads the tries of several gateways
      */
@@ -52,13 +52,13 @@
             Vertx vertx,
             ObjectSource source,
             ObjectKind kind,
-            int waitMs,
+            FeedPace pace,
             FeedListener listener,
             RandomGenerator random) {
         this.vertx = vertx;
         this.source = source;
         this.kind = kind;
-        this.waitMs = waitMs;
+        this.pace = pace;
         this.listener = listener;
         this.random = random;
     }
@@ -101,7 +101,9 @@
         if (stopped) {
             return;
         }
-        source.watch(kind, revision, waitMs).onSuccess(this::takeChanges).onFailure(this::lost);
+        source.watch(kind, revision, pace.longestWaitMs())
+                .onSuccess(this::takeChanges)
+                .onFailure(this::lost);
     }
 
     private void takeChanges(ObjectChanges changes) {
@@ -114,7 +116,12 @@
             }
         }
         revision = Math.max(revision, changes.revision());
-        watch();
+        int gatherMs = pace.gatherMs().getAsInt();
+        if (changes.changes().isEmpty() || gatherMs == 0) {
+            watch();
+        } else {
+            vertx.setTimer(gatherMs, fired -> watch());
+        }
     }
 
     private void answered() {
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/StoreFollower.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/StoreFollower.java
@@ -30,6 +30,10 @@
     private static final int ENDPOINTS_WAIT_MS = 2_000;
     private static final int ZONES_WAIT_MS = 3_000;
     private static final int INSTANCES_WAIT_MS = 10_000;
+    private static final int INSTANCES_GATHER_MS = 1_000;
+    // All gateways read each change, so the more there are, the more changes each call should bring.
+    private static final int ENDPOINTS_GATHER_MS_PER_GATEWAY = 5;
+    private static final int ENDPOINTS_LONGEST_GATHER_MS = 400;
     private static final int LAPSE_CHECK_MS = 200;
 
     private final Vertx vertx;
@@ -59,12 +63,36 @@
         this.reader = reader;
         this.tables = tables;
         this.endpointsChanged = endpointsChanged;
-        feeds.add(new ObjectFeed(
-                vertx, source, ObjectKind.CONFIGURATION, CONFIGURATION_WAIT_MS, new ConfigurationListener(), random));
-        feeds.add(
-                new ObjectFeed(vertx, source, ObjectKind.ENDPOINTS, ENDPOINTS_WAIT_MS, new EndpointListener(), random));
-        feeds.add(new ObjectFeed(vertx, source, ObjectKind.WITHDRAWN_ZONES, ZONES_WAIT_MS, new ZoneListener(), random));
-        feeds.add(new ObjectFeed(vertx, source, ObjectKind.INSTANCES, INSTANCES_WAIT_MS, new PeerListener(), random));
+        addFeed(
+                source,
+                random,
+                ObjectKind.CONFIGURATION,
+                new FeedPace(CONFIGURATION_WAIT_MS, () -> 0),
+                new ConfigurationListener());
+        addFeed(
+                source,
+                random,
+                ObjectKind.ENDPOINTS,
+                new FeedPace(ENDPOINTS_WAIT_MS, this::endpointsGatherMs),
+                new EndpointListener());
+        addFeed(source, random, ObjectKind.WITHDRAWN_ZONES, new FeedPace(ZONES_WAIT_MS, () -> 0), new ZoneListener());
+        addFeed(
+                source,
+                random,
+                ObjectKind.INSTANCES,
+                new FeedPace(INSTANCES_WAIT_MS, () -> INSTANCES_GATHER_MS),
+                new PeerListener());
+    }
+
+    private void addFeed(
+            ObjectSource source, RandomGenerator random, ObjectKind kind, FeedPace pace, FeedListener listener) {
+        feeds.add(new ObjectFeed(vertx, source, kind, pace, listener, random));
+    }
+
+    private int endpointsGatherMs() {
+        return Math.min(
+                ENDPOINTS_LONGEST_GATHER_MS,
+                ENDPOINTS_GATHER_MS_PER_GATEWAY * tables.peers().names().size());
     }
 
     /** Begins to follow all kinds. */
