Work waits for an endpoint of its zone the less, the more endpoints there are

Change: patience is one full call and three more divided by the endpoints at home; a backlog is a full call for each endpoint. With one endpoint a zone nothing changes but the backlog, which counts all endpoints. Test: StageQueueTest, two tests of zones with many endpoints.

--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
@@ -168,9 +168,10 @@
                 .sorted(Comparator.comparingDouble(EndpointState::slowness))
                 .toList();
         Set<String> freeZones = zones(free.stream().filter(endpoint -> hasRoom(endpoint, limits)));
-        Set<String> allZones = zones(usable.stream());
+        Map<String, Integer> endpoints = new HashMap<>();
+        usable.forEach(endpoint -> endpoints.merge(endpoint.latest().zone(), 1, Integer::sum));
         for (EndpointState endpoint : free) {
-            CallPlace place = new CallPlace(endpoint.latest().zone(), roomLeft(endpoint, limits), freeZones, allZones);
+            CallPlace place = new CallPlace(endpoint.latest().zone(), roomLeft(endpoint, limits), freeZones, endpoints);
             List<QueuedPiece> pieces = queue.takeCall(limits, place, nowMs);
             if (!pieces.isEmpty()) {
                 call(endpoint, pieces, limits);
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/CallPlace.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/CallPlace.java
@@ -1,5 +1,6 @@
 package org.pimentovale.kernel.batch;
 
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -8,12 +9,21 @@
  * @param zone the endpoint's availability zone
  * @param roomBytes the room that the endpoint has for results
  * @param freeZones the availability zones in which an endpoint is free
- * @param allZones the availability zones of all endpoints that take work
+ * @param endpoints how many endpoints take work, by availability zone
  */
-public record CallPlace(String zone, long roomBytes, Set<String> freeZones, Set<String> allZones) {
-    /** Copies the sets. */
+public record CallPlace(String zone, long roomBytes, Set<String> freeZones, Map<String, Integer> endpoints) {
+    /** Copies the collections. */
     public CallPlace {
         freeZones = Set.copyOf(freeZones);
-        allZones = Set.copyOf(allZones);
+        endpoints = Map.copyOf(endpoints);
+    }
+
+    /**
+     * Returns how many endpoints take work.
+     *
+     * @return the number, over all availability zones
+     */
+    public int allEndpoints() {
+        return endpoints.values().stream().mapToInt(Integer::intValue).sum();
     }
 }
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
@@ -16,8 +16,8 @@
  * handed out once until it is put back. Not thread safe.
  */
 public final class StageQueue {
-    private static final double ZONE_PATIENCE_CALLS = 4;
-
+    private static final double LEAST_ZONE_PATIENCE_CALLS = 1;
+    private static final double ZONE_PATIENCE_CALLS_OF_ONE_ENDPOINT = 3;
     private static final long LATE_PATIENCE_MS = 2_500;
 
     private final List<StageTicket> tickets = new ArrayList<>();
@@ -77,12 +77,10 @@
      * @return the pieces, none where nothing is to be done there or the first piece finds no room
      */
     public List<QueuedPiece> takeCall(PieceLimits limits, CallPlace place, long nowMs) {
-        boolean backlog = waitingPieces() > place.allZones().size() * limits.piecesPerCall();
-        double fullCallMs = limits.durationMs(limits.piecesPerCall());
-        long hurryBeforeMs = backlog ? Long.MAX_VALUE : nowMs + (long) (fullCallMs * ZONE_PATIENCE_CALLS);
+        boolean backlog = waitingPieces() > place.allEndpoints() * limits.piecesPerCall();
         List<StageTicket> order = tickets.stream()
                 .filter(ticket -> ticket.waitingPieces() > 0)
-                .filter(ticket -> mayRunAt(ticket, place, hurryBeforeMs))
+                .filter(ticket -> backlog || mayRunAt(ticket, place, limits, nowMs))
                 .sorted(order(nowMs + (long) limits.durationMs(limits.piecesPerCall() / 2)))
                 .toList();
         List<QueuedPiece> call = new ArrayList<>();
@@ -98,13 +96,16 @@
         return call;
     }
 
-    private static boolean mayRunAt(StageTicket ticket, CallPlace place, long hurryBeforeMs) {
+    private static boolean mayRunAt(StageTicket ticket, CallPlace place, PieceLimits limits, long nowMs) {
         Optional<String> preferred = ticket.work().zone();
-        if (preferred.isEmpty()
-                || preferred.get().equals(place.zone())
-                || !place.allZones().contains(preferred.get())) {
+        int endpointsAtHome =
+                preferred.map(zone -> place.endpoints().getOrDefault(zone, 0)).orElse(0);
+        if (endpointsAtHome == 0 || preferred.get().equals(place.zone())) {
             return true;
         }
+        // The more endpoints there are at home, the sooner one of them is free.
+        double patienceCalls = LEAST_ZONE_PATIENCE_CALLS + ZONE_PATIENCE_CALLS_OF_ONE_ENDPOINT / endpointsAtHome;
+        double hurryBeforeMs = nowMs + limits.durationMs(limits.piecesPerCall()) * patienceCalls;
         return !place.freeZones().contains(preferred.get()) && ticket.dueMs() < hurryBeforeMs;
     }
 
--- a/kernel/src/test/java/org/pimentovale/kernel/batch/StageQueueTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/batch/StageQueueTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
@@ -12,7 +13,7 @@
 class StageQueueTest {
     private static final PieceLimits LIMITS = new PieceLimits(1, 6, 150, 20, 27, 4);
     private static final long ROOM = 27_000_000;
-    private static final Set<String> ZONES = Set.of("north", "south");
+    private static final Map<String, Integer> ONE_EACH = Map.of("north", 1, "south", 1);
 
     private final StageQueue queue = new StageQueue();
 
@@ -29,7 +30,11 @@
     }
 
     private List<String> takeCall(long room, String zone, Set<String> freeZones, long nowMs) {
-        return queue.takeCall(LIMITS, new CallPlace(zone, room, freeZones, ZONES), nowMs).stream()
+        return takeCall(new CallPlace(zone, room, freeZones, ONE_EACH), nowMs);
+    }
+
+    private List<String> takeCall(CallPlace place, long nowMs) {
+        return queue.takeCall(LIMITS, place, nowMs).stream()
                 .map(piece -> piece.ticket().work().requestId() + piece.piece())
                 .toList();
     }
@@ -89,6 +94,25 @@
             assertThat(takeCall(ROOM, "north", 0)).hasSize(2);
         }
 
+        @Test
+        void withManyEndpointsKeepWorkForThemUntilItHurries() {
+            Map<String, Integer> sixEach = Map.of("north", 6, "south", 6);
+            CallPlace place = new CallPlace("north", ROOM, Set.of("north"), sixEach);
+            add("a", 2, 1_000, Optional.of("south"));
+
+            assertThat(takeCall(place, 0)).isEmpty();
+            assertThat(takeCall(place, 600)).hasSize(2);
+        }
+
+        @Test
+        void withManyEndpointsHaveABacklogOnlyBehindAllOfThem() {
+            add("a", 13, 5_000, Optional.of("south"));
+
+            Map<String, Integer> sixEach = Map.of("north", 6, "south", 6);
+            assertThat(takeCall(new CallPlace("north", ROOM, Set.of("north"), sixEach), 0))
+                    .isEmpty();
+        }
+
         @Test
         void leaveUrgentWorkToAFreeEndpointAtHome() {
             add("a", 2, 300, Optional.of("south"));
