Refuse stage work by its turn in the queue, with the time to come back; urgent work has a head start

Change: a ticket whose turn, by the work before it and the endpoints that do it, comes after its deadline or 2.5 s after its goal is refused at once; the wait travels to the caller as Retry-After. Among work that reaches its goal, each rank of less urgency counts as 400 ms. Test: StageQueueTest, five tests of order and refusals.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
@@ -435,7 +435,7 @@
         }
         boolean notRun = failure.outcome() == Outcome.NOT_RUN && !mayHaveRun;
         ServingException told = failure.withOutcome(notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN);
-        end(told.getMessage(), answer.failure(told, RETRY_AFTER_MS));
+        end(told.getMessage(), answer.failure(told, told.retryAfterMs().orElse(RETRY_AFTER_MS)));
     }
 
     /** Ends the run because the caller's connection is closed. */
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
@@ -97,7 +97,7 @@
     }
 
     private static void answerProblem(HttpServerRequest http, ServingException failure) {
-        answer(http, Json.write(new StageProblem(failure.code(), failure.detail())), STATUS_UNAVAILABLE);
+        answer(http, Json.write(StageProblem.of(failure)), STATUS_UNAVAILABLE);
     }
 
     private static void answer(HttpServerRequest http, byte[] body, int status) {
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageClient.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageClient.java
@@ -151,9 +151,9 @@
         }
         StageProblem problem = Json.read(answer.body().getBytes(), StageProblem.class);
         if (problem.code() == ErrorCode.INSTANCE_DRAINING) {
-            ownerLost(owner, run, ServingException.notRun(problem.code(), problem.detail()));
+            ownerLost(owner, run, problem.toFailure());
         } else {
-            run.results.tryFail(ServingException.notRun(problem.code(), problem.detail()));
+            run.results.tryFail(problem.toFailure());
         }
     }
 
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
@@ -21,6 +21,7 @@
 import org.pimentovale.gateway.port.PieceResult;
 import org.pimentovale.gateway.port.PieceResult.PieceFailure;
 import org.pimentovale.kernel.batch.CallPlace;
+import org.pimentovale.kernel.batch.HopelessTicket;
 import org.pimentovale.kernel.batch.QueuedPiece;
 import org.pimentovale.kernel.batch.ResultRoom;
 import org.pimentovale.kernel.batch.StageQueue;
@@ -45,6 +46,7 @@
     private static final double SLOW_FACTOR = 2;
     private static final long SLOWNESS_VALID_MS = 2_500;
     private static final int MOST_FAILURES = 6;
+    private static final long LEAST_RETRY_AFTER_MS = 300;
     private static final double USABLE_ROOM_SHARE = 0.9; // sizes of results are approximate
     private static final double SPARE_ROOM_SHARE = 0.25;
     private static final long MS_PER_SECOND = 1_000;
@@ -144,8 +146,9 @@
         long nowMs = tables.nowMs();
         if (limits.isPresent()) {
             room.expire(nowMs);
-            queue.removeHopeless(limits.get(), nowMs)
-                    .forEach(ticket -> fail(ticket, ErrorCode.DEADLINE_UNREACHABLE, "no turn before the deadline"));
+            queue.removeHopeless(
+                            limits.get(), tables.endpoints().usable(service).size(), nowMs)
+                    .forEach(this::refuseHopeless);
             while (queue.waitingPieces() > 0 && startCall(limits.get(), nowMs)) {
                 nowMs = tables.nowMs();
             }
@@ -153,6 +156,14 @@
         scheduleCheck();
     }
 
+    private void refuseHopeless(HopelessTicket hopeless) {
+        ServingException failure = ServingException.notRun(
+                        ErrorCode.DEADLINE_UNREACHABLE,
+                        service + ": no turn in time behind a wait of " + hopeless.waitMs())
+                .withRetryAfter(Math.max(LEAST_RETRY_AFTER_MS, hopeless.waitMs()));
+        fail(hopeless.ticket(), failure);
+    }
+
     private Optional<PieceLimits> limits() {
         return tables.configuration()
                 .flatMap(configuration -> configuration.service(service))
@@ -334,14 +345,30 @@
     }
 
     private void fail(StageTicket ticket, ErrorCode code, String detail) {
+        fail(ticket, ServingException.notRun(code, service + ": " + detail));
+    }
+
+    private void fail(StageTicket ticket, ServingException failure) {
         Promise<List<String>> promise = waiting.get(ticket);
         if (promise == null) {
             return;
         }
         end(ticket);
         release(ticket.handles());
-        Events.info(LOG, "stage_refused", "request", ticket.work().requestId(), "service", service, "reason", detail);
-        promise.tryFail(ServingException.notRun(code, service + ": " + detail));
+        Events.info(
+                LOG,
+                "stage_refused",
+                "request",
+                ticket.work().requestId(),
+                "service",
+                service,
+                "reason",
+                failure.getMessage(),
+                "waiting",
+                queue.waitingPieces(),
+                "retry_after_ms",
+                failure.retryAfterMs().orElse(-1));
+        promise.tryFail(failure);
     }
 
     private void end(StageTicket ticket) {
--- a/kernel/src/test/java/org/pimentovale/kernel/batch/StageQueueTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/batch/StageQueueTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,8 +19,28 @@
     private final StageQueue queue = new StageQueue();
 
     private StageTicket add(String request, int pieces, long goalLeftMs, Optional<String> zone) {
+        return add(request, pieces, goalLeftMs, 1, zone);
+    }
+
+    private List<StageTicket> hopeless(int endpoints, long nowMs) {
+        return queue.removeHopeless(LIMITS, endpoints, nowMs).stream()
+                .map(HopelessTicket::ticket)
+                .toList();
+    }
+
+    private StageTicket add(String request, int pieces, long goalLeftMs, int priority, Optional<String> zone) {
         StageWork work = new StageWork(
-                request, "catalogue", 0, pieces, Optional.of("key"), List.of(), 3_000_000, goalLeftMs, 6_000, 1, zone);
+                request,
+                "catalogue",
+                0,
+                pieces,
+                Optional.of("key"),
+                List.of(),
+                3_000_000,
+                goalLeftMs,
+                6_000,
+                priority,
+                zone);
         StageTicket ticket = new StageTicket(work, 0);
         queue.add(ticket);
         return ticket;
@@ -69,6 +90,22 @@
             assertThat(takeCall(ROOM, "north", 0).get(0)).isEqualTo("reachable0");
         }
 
+        @Test
+        void takeMoreUrgentWorkThatIsDueALittleLater() {
+            add("patient", 2, 1_000, 2, Optional.empty());
+            add("urgent", 2, 1_700, 0, Optional.empty());
+
+            assertThat(takeCall(ROOM, "north", 0).get(0)).isEqualTo("urgent0");
+        }
+
+        @Test
+        void takePatientWorkThatIsDueMuchEarlier() {
+            add("patient", 2, 1_000, 2, Optional.empty());
+            add("urgent", 2, 1_900, 0, Optional.empty());
+
+            assertThat(takeCall(ROOM, "north", 0).get(0)).isEqualTo("patient0");
+        }
+
         @Test
         void holdNoMoreThanTheEndpointHasRoomFor() {
             add("a", 6, 2_000, Optional.empty());
@@ -142,8 +179,8 @@
         void isRemovedOnceNoCallCanEndInTime() {
             StageTicket ticket = add("a", 2, 5_500, Optional.empty());
 
-            assertThat(queue.removeHopeless(LIMITS, 5_000)).isEmpty();
-            assertThat(queue.removeHopeless(LIMITS, 5_900)).containsExactly(ticket);
+            assertThat(hopeless(1, 5_000)).isEmpty();
+            assertThat(hopeless(1, 5_900)).containsExactly(ticket);
             assertThat(queue.waitingPieces()).isEqualTo(0);
         }
     }
@@ -166,8 +203,43 @@
         void refusesWhatHasLongMissedItsGoal() {
             StageTicket waiting = add("waiting", 2, 500, Optional.empty());
 
-            assertThat(queue.removeHopeless(LIMITS, 3_000)).isEmpty();
-            assertThat(queue.removeHopeless(LIMITS, 3_001)).containsExactly(waiting);
+            assertThat(hopeless(1, 3_000)).isEmpty();
+            assertThat(hopeless(1, 3_001)).containsExactly(waiting);
+        }
+
+        @Test
+        void refusesAtOnceWhatHasNoTurnInTime() {
+            List<StageTicket> waiting = new ArrayList<>();
+            for (int request = 0; request < 20; request++) {
+                waiting.add(add("r" + request, 6, 1_000, Optional.empty()));
+            }
+
+            // A call takes 270 ms, so the fourteenth begins after 3,510 ms.
+            List<HopelessTicket> refused = queue.removeHopeless(LIMITS, 1, 0);
+
+            assertThat(refused.stream().map(HopelessTicket::ticket).toList())
+                    .containsExactlyElementsIn(waiting.subList(13, 20));
+            assertThat(refused.get(0).waitMs()).isEqualTo(3_510);
+            assertThat(hopeless(1, 0)).isEmpty();
+        }
+
+        @Test
+        void refusesNothingThatMoreEndpointsDoInTime() {
+            for (int request = 0; request < 20; request++) {
+                add("r" + request, 6, 1_000, Optional.empty());
+            }
+
+            assertThat(hopeless(2, 0)).isEmpty();
+        }
+
+        @Test
+        void refusesTheLessUrgentFirst() {
+            StageTicket patient = add("patient", 6, 1_000, 2, Optional.empty());
+            for (int request = 0; request < 13; request++) {
+                add("r" + request, 6, 1_000, 0, Optional.empty());
+            }
+
+            assertThat(hopeless(1, 0)).containsExactly(patient);
         }
 
         @Test
@@ -175,7 +247,7 @@
             add("begun", 8, 500, Optional.empty());
             takeCall(9_000_000, "north", 0);
 
-            assertThat(queue.removeHopeless(LIMITS, 3_001)).isEmpty();
+            assertThat(hopeless(1, 3_001)).isEmpty();
         }
     }
 
--- a/model/src/main/java/org/pimentovale/error/ServingException.java
+++ b/model/src/main/java/org/pimentovale/error/ServingException.java
@@ -1,13 +1,16 @@
 package org.pimentovale.error;
 
 import java.util.Objects;
+import java.util.OptionalLong;
 
 /** A failure with a code and an outcome. Immutable and thread safe. */
 public final class ServingException extends RuntimeException {
-    private static final long serialVersionUID = 1L;
+    private static final long serialVersionUID = 2L;
+    private static final long RETRY_TIME_UNKNOWN = -1;
 
     private final ErrorCode code;
     private final Outcome outcome;
+    private final long retryAfterMs;
 
     /**
      * Creates a failure.
@@ -17,9 +20,14 @@
      * @param detail what exactly was met, for the reader of a log
      */
     public ServingException(ErrorCode code, Outcome outcome, String detail) {
+        this(code, outcome, detail, RETRY_TIME_UNKNOWN);
+    }
+
+    private ServingException(ErrorCode code, Outcome outcome, String detail, long retryAfterMs) {
         super(code.label() + ": " + detail, null, false, false);
         this.code = Objects.requireNonNull(code);
         this.outcome = Objects.requireNonNull(outcome);
+        this.retryAfterMs = retryAfterMs;
     }
 
     /**
@@ -64,7 +72,26 @@
         if (other == outcome) {
             return this;
         }
-        return new ServingException(code, other, detail());
+        return new ServingException(code, other, detail(), retryAfterMs);
+    }
+
+    /**
+     * Returns this failure with the time after which a repeat is worth while.
+     *
+     * @param milliseconds the time from now
+     * @return a copy
+     */
+    public ServingException withRetryAfter(long milliseconds) {
+        return new ServingException(code, outcome, detail(), Math.max(0, milliseconds));
+    }
+
+    /**
+     * Returns after which time a repeat is worth while.
+     *
+     * @return milliseconds, empty where nobody knows
+     */
+    public OptionalLong retryAfterMs() {
+        return retryAfterMs == RETRY_TIME_UNKNOWN ? OptionalLong.empty() : OptionalLong.of(retryAfterMs);
     }
 
     /**
