--- a/gateway/src/main/java/org/pimentovale/gateway/port/ObjectSource.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ObjectSource.java
@@ -6,7 +6,7 @@
 /** The platform's store, as a gateway uses it. Every call ends within a bounded time. Thread safe. */
 public interface ObjectSource {
     /**
-     * Lists a kind, no staler than its call.
+     * Lists a kind, no staler than its call; only {@link ObjectKind#INSTANCES} may be seconds old.
      *
      * @param kind the kind
      * @param after the name behind which the list goes on, empty for its beginning
