--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -75,6 +76,8 @@
     private final PeerMonitor monitor;
     private final CallerListener callers;
     private final PeerListener peerListener;
+    private final List<HttpClient> clients = new ArrayList<>();
+    private final List<HttpServer> servers = new ArrayList<>();
     private int callerPort;
     private int readinessPort;
     private InstanceRecord announced;
@@ -111,8 +114,7 @@
         this.stageClient = new StageClient(tables, peerCalls, ownership);
         this.follower = new StoreFollower(vertx, source, platform.reader(), tables, random, this::beliefsChanged);
         this.monitor = new PeerMonitor(vertx, tables, peerCalls, this::stageServices, stageClient::peerLost);
-        EndpointClient endpoints =
-                new EndpointClient(vertx.createHttpClient(clientOptions(false), pool(MOST_CONNECTIONS_PER_HOST)));
+        EndpointClient endpoints = new EndpointClient(newClient(false, MOST_CONNECTIONS_PER_HOST));
         RequestServices services = new RequestServices(
                 vertx, endpoints, platform.endpoints(), stageClient, metrics, platform.stages()::addressOf);
         this.callers = new CallerListener(tables, state, platform.callers(), services);
@@ -129,8 +131,13 @@
     }
 
     private TimedHttpClient timed(boolean keepConnections, int connections, ErrorCode failureCode) {
-        return new TimedHttpClient(
-                vertx, vertx.createHttpClient(clientOptions(keepConnections), pool(connections)), failureCode);
+        return new TimedHttpClient(vertx, newClient(keepConnections, connections), failureCode);
+    }
+
+    private HttpClient newClient(boolean keepConnections, int connections) {
+        HttpClient client = vertx.createHttpClient(clientOptions(keepConnections), pool(connections));
+        clients.add(client);
+        return client;
     }
 
     private static HttpClientOptions clientOptions(boolean keepConnections) {
@@ -202,6 +209,32 @@
         return readinessPort;
     }
 
+    /**
+     * Tells whether callers' requests can be served.
+     *
+     * @return whether what serves them is known
+     */
+    public boolean ready() {
+        return tables.ready();
+    }
+
+    /**
+     * Tells whether callers' requests run.
+     *
+     * @return whether there is one
+     */
+    public boolean busy() {
+        return state.running() > 0;
+    }
+
+    /** Ends at once: closes all listeners and connections and stops all duties. */
+    public void close() {
+        follower.stop();
+        monitor.stop();
+        servers.forEach(HttpServer::close);
+        clients.forEach(HttpClient::close);
+    }
+
     private static String hostOf(String address) {
         return address.substring(0, address.lastIndexOf(':'));
     }
@@ -215,7 +248,9 @@
                 .setHandle100ContinueAutomatically(true)
                 .setAcceptBacklog(ACCEPT_BACKLOG)
                 .setTcpNoDelay(true);
-        return vertx.createHttpServer(options).requestHandler(handler).listen().map(HttpServer::actualPort);
+        HttpServer server = vertx.createHttpServer(options).requestHandler(handler);
+        servers.add(server);
+        return server.listen().map(HttpServer::actualPort);
     }
 
     private void answerReadiness(HttpServerRequest http) {
--- a/gateway/src/main/java/org/pimentovale/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/GatewayDaemon.java
@@ -15,8 +15,10 @@
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.gateway.port.ServingPlatform;
+import org.pimentovale.gateway.rehearsal.Rehearsal;
 import org.pimentovale.gateway.settings.GatewaySettings;
 import org.pimentovale.gateway.settings.GatewaySettingsReader;
+import org.pimentovale.kernel.time.MonotonicClock;
 import org.pimentovale.log.Events;
 import org.pimentovale.log.LoggingSetup;
 import org.pimentovale.plugin.PluginRegistry;
@@ -25,6 +27,7 @@
 /** The gateway's program. Exit codes: 0 after a shutdown, 1 where it cannot start, 2 for unusable arguments. */
 public final class GatewayDaemon {
     private static final Logger LOG = Logger.getLogger(GatewayDaemon.class);
+    private static final int READY_CHECK_MS = 100;
 
     @Option(name = "--settings", required = true, metaVar = "FILE", usage = "the settings, in TOML")
     private String settingsFile;
@@ -67,18 +70,32 @@
         // One event loop: a small instance has less than one core, and its tables then need no locks.
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
         ServingPlatform platform = new PluginRegistry<>(ServingPlatform.class).get(settings.platform());
-        Gateway gateway = new Gateway(
-                vertx, settings, platform, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), new Random());
+        MonotonicClock clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        Random random = new Random();
+        Gateway gateway = new Gateway(vertx, settings, platform, clock, random);
+        Rehearsal rehearsal = new Rehearsal(vertx, platform, clock, random, gateway::busy);
         // A shutdown hook would run beside the logging library's own, after which no line is written any more.
         Signal.handle(new Signal("TERM"), signal -> startShutDown(gateway, settings));
         Signal.handle(new Signal("INT"), signal -> startShutDown(gateway, settings));
         Signal.handle(
                 new Signal("HUP"),
                 signal -> Events.info(LOG, "settings_signal", "outcome", "settings are read at the next start"));
-        vertx.runOnContext(run -> gateway.start().onFailure(failure -> {
-            System.err.println("cannot start: " + failure.getMessage());
-            Runtime.getRuntime().halt(1);
-        }));
+        vertx.runOnContext(run -> gateway.start()
+                .onSuccess(started -> rehearseOnceReady(vertx, gateway, rehearsal))
+                .onFailure(failure -> {
+                    System.err.println("cannot start: " + failure.getMessage());
+                    Runtime.getRuntime().halt(1);
+                }));
+    }
+
+    /** Reading the store goes first, since callers may wait for it. */
+    private static void rehearseOnceReady(Vertx vertx, Gateway gateway, Rehearsal rehearsal) {
+        vertx.setPeriodic(READY_CHECK_MS, timer -> {
+            if (gateway.ready()) {
+                vertx.cancelTimer(timer);
+                rehearsal.run();
+            }
+        });
     }
 
     private String readSettings() {
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/StoreFollower.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/StoreFollower.java
@@ -42,6 +42,7 @@
     private final GatewayTables tables;
     private final Runnable endpointsChanged;
     private final List<ObjectFeed> feeds = new ArrayList<>();
+    private long lapseTimer = -1;
 
     /**
      * Creates a follower that does not run yet.
@@ -99,12 +100,13 @@
     /** Begins to follow all kinds. */
     public void start() {
         feeds.forEach(ObjectFeed::start);
-        vertx.setPeriodic(LAPSE_CHECK_MS, fired -> removeLapsed());
+        lapseTimer = vertx.setPeriodic(LAPSE_CHECK_MS, fired -> removeLapsed());
     }
 
     /** Ends all feeds. */
     public void stop() {
         feeds.forEach(ObjectFeed::stop);
+        vertx.cancelTimer(lapseTimer);
     }
 
     private void removeLapsed() {
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerMonitor.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerMonitor.java
@@ -41,6 +41,7 @@
     private final Consumer<String> peerLost;
     private final Map<String, Integer> misses = new HashMap<>();
     private long rounds;
+    private long timer = -1;
 
     /**
      * Creates a monitor that does not run yet.
@@ -66,7 +67,12 @@
 
     /** Begins to ask. */
     public void start() {
-        vertx.setPeriodic(PERIOD_MS, fired -> askAll());
+        timer = vertx.setPeriodic(PERIOD_MS, fired -> askAll());
+    }
+
+    /** Asks no more. */
+    public void stop() {
+        vertx.cancelTimer(timer);
     }
 
     private void askAll() {
--- a/gateway/src/main/java/org/pimentovale/gateway/port/EndpointDialect.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/EndpointDialect.java
@@ -29,4 +29,12 @@
      * @return what they say
      */
     AnswerHead readHead(int status, MultiMap headers);
+
+    /**
+     * Encodes the headers of an endpoint's made-up good answer, for a rehearsal.
+     *
+     * @param requestHeaders the headers that {@link #requestHeaders} made
+     * @return the headers
+     */
+    MultiMap sampleAnswerHeaders(MultiMap requestHeaders);
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/port/StageDialect.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/StageDialect.java
@@ -61,4 +61,13 @@
      * @return host and port
      */
     String addressOf(String handle);
+
+    /**
+     * Encodes a made-up good answer, for a rehearsal.
+     *
+     * @param request a body that {@link #encodePieces} made
+     * @param address host and port that keep the results
+     * @return the body, with one result a piece
+     */
+    Buffer sampleResults(Buffer request, String address);
 }
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/rehearsal/RehearsalEndpoint.java
@@ -0,0 +1,53 @@
+package org.pimentovale.gateway.rehearsal;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import org.pimentovale.gateway.port.EndpointDialect;
+import org.pimentovale.gateway.port.StageDialect;
+
+/** Answers the requests of a rehearsal at once. Not thread safe; used on one event loop. */
+final class RehearsalEndpoint {
+    private static final int EVENTS = 6;
+    private static final String EVENT = "data: rehearsal\n\n";
+
+    private final HttpServer server;
+    private final EndpointDialect dialect;
+    private final StageDialect stageDialect;
+
+    RehearsalEndpoint(Vertx vertx, EndpointDialect dialect, StageDialect stageDialect) {
+        this.server = vertx.createHttpServer(
+                new HttpServerOptions().setHost(Rehearsal.HOST).setPort(0));
+        this.dialect = dialect;
+        this.stageDialect = stageDialect;
+    }
+
+    Future<String> start() {
+        return server.requestHandler(this::answer).listen().map(opened -> Rehearsal.HOST + ":" + opened.actualPort());
+    }
+
+    private void answer(HttpServerRequest request) {
+        request.body().onSuccess(body -> {
+            if (request.path().equals(stageDialect.runPath())) {
+                String address = Rehearsal.HOST + ":" + server.actualPort();
+                request.response().end(stageDialect.sampleResults(body, address));
+            } else if (request.path().equals(stageDialect.releasePath())) {
+                request.response().end();
+            } else {
+                request.response().headers().addAll(dialect.sampleAnswerHeaders(request.headers()));
+                request.response().setChunked(true);
+                for (int event = 0; event < EVENTS; event++) {
+                    request.response().write(Buffer.buffer(EVENT));
+                }
+                request.response().end();
+            }
+        });
+    }
+
+    Future<Void> close() {
+        return server.close();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/rehearsal/RehearsalStore.java
@@ -0,0 +1,104 @@
+package org.pimentovale.gateway.rehearsal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.pimentovale.gateway.port.InstanceRecord;
+import org.pimentovale.gateway.port.ObjectChanges;
+import org.pimentovale.gateway.port.ObjectEntry;
+import org.pimentovale.gateway.port.ObjectKind;
+import org.pimentovale.gateway.port.ObjectPage;
+import org.pimentovale.gateway.port.ObjectReader;
+import org.pimentovale.gateway.port.ObjectSource;
+import org.pimentovale.kernel.directory.EndpointRecord;
+import org.pimentovale.kernel.serving.ServingConfiguration;
+
+/**
+ * The store of a rehearsal: a fixed configuration with its endpoints, and the gateways that announce themselves.
+ *
+ * <p>Not thread safe; used on one event loop.
+ */
+final class RehearsalStore implements ObjectSource, ObjectReader {
+    private static final String CONFIGURATION = "rehearsal";
+
+    private final ServingConfiguration configuration;
+    private final Map<String, EndpointRecord> endpoints = new LinkedHashMap<>();
+    private final Map<String, InstanceRecord> instances = new LinkedHashMap<>();
+    private final List<Promise<ObjectChanges>> instanceWatches = new ArrayList<>();
+    private long revision = 1;
+
+    RehearsalStore(ServingConfiguration configuration, List<EndpointRecord> endpoints) {
+        this.configuration = configuration;
+        endpoints.forEach(endpoint -> this.endpoints.put(endpoint.identifier(), endpoint));
+    }
+
+    @Override
+    public Future<ObjectPage> list(ObjectKind kind, Optional<String> after) {
+        List<String> names =
+                switch (kind) {
+                    case CONFIGURATION -> List.of(CONFIGURATION);
+                    case ENDPOINTS -> List.copyOf(endpoints.keySet());
+                    case WITHDRAWN_ZONES -> List.of();
+                    case INSTANCES -> List.copyOf(instances.keySet());
+                };
+        return Future.succeededFuture(
+                new ObjectPage(names.stream().map(this::entry).toList(), false, revision));
+    }
+
+    @Override
+    public Future<ObjectChanges> watch(ObjectKind kind, long behind, int waitMs) {
+        Promise<ObjectChanges> changes = Promise.promise();
+        if (kind == ObjectKind.INSTANCES) {
+            instanceWatches.add(changes);
+        }
+        return changes.future();
+    }
+
+    @Override
+    public Future<Void> announce(InstanceRecord instance) {
+        revision++;
+        instances.put(instance.name(), instance);
+        ObjectChanges change =
+                new ObjectChanges(List.of(new ObjectChanges.Change(entry(instance.name()), false)), revision);
+        List<Promise<ObjectChanges>> told = List.copyOf(instanceWatches);
+        instanceWatches.clear();
+        told.forEach(watch -> watch.complete(change));
+        return Future.succeededFuture();
+    }
+
+    @Override
+    public Future<Void> withdraw(String name) {
+        instances.remove(name);
+        return Future.succeededFuture();
+    }
+
+    private ObjectEntry entry(String name) {
+        return new ObjectEntry(name, revision, MissingNode.getInstance());
+    }
+
+    @Override
+    public String configurationName() {
+        return CONFIGURATION;
+    }
+
+    @Override
+    public ServingConfiguration configuration(JsonNode value) {
+        return configuration;
+    }
+
+    @Override
+    public Optional<EndpointRecord> endpoint(String name, JsonNode value) {
+        return Optional.ofNullable(endpoints.get(name));
+    }
+
+    @Override
+    public Optional<InstanceRecord> instance(String name, JsonNode value) {
+        return Optional.ofNullable(instances.get(name));
+    }
+}
