Gateways share which requests crash the endpoints that run them

Cause: nothing stopped a request that crashes each endpoint: its caller comes again, at any gateway. The kernel's table takes the number of losses; the entry daemon keeps two.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -33,6 +33,7 @@
 import org.pimentovale.gateway.stage.StageClient;
 import org.pimentovale.gateway.stage.StageDispatcher;
 import org.pimentovale.gateway.stage.StageOwnership;
+import org.pimentovale.gateway.suspect.SuspectExchange;
 import org.pimentovale.kernel.serving.ServingConfiguration;
 import org.pimentovale.kernel.serving.ServingService;
 import org.pimentovale.kernel.time.MonotonicClock;
@@ -72,6 +73,7 @@
     private final InstanceRecord self;
     private final StageOwnership ownership;
     private final StageClient stageClient;
+    private final SuspectExchange suspects;
     private final StoreFollower follower;
     private final PeerMonitor monitor;
     private final CallerListener callers;
@@ -115,8 +117,9 @@
         this.follower = new StoreFollower(vertx, source, platform.reader(), tables, random, this::beliefsChanged);
         this.monitor = new PeerMonitor(vertx, tables, peerCalls, this::stageServices, stageClient::peerLost);
         EndpointClient endpoints = new EndpointClient(newClient(false, MOST_CONNECTIONS_PER_HOST));
+        this.suspects = new SuspectExchange(vertx, tables, peerCalls);
         RequestServices services = new RequestServices(
-                vertx, endpoints, platform.endpoints(), stageClient, metrics, platform.stages()::addressOf);
+                vertx, endpoints, platform.endpoints(), stageClient, suspects, metrics, platform.stages()::addressOf);
         this.callers = new CallerListener(tables, state, platform.callers(), services);
         metrics.watch(
                 "pimentovale_gateway_configuration_version",
@@ -127,7 +130,7 @@
                 "pimentovale_gateway_stage_tickets",
                 "Stages that wait or run here as an owner.",
                 ownership::openTickets);
-        this.peerListener = new PeerListener(tables, ownership, state::leaving, clock.nowMs());
+        this.peerListener = new PeerListener(tables, ownership, suspects, state::leaving, clock.nowMs());
     }
 
     private TimedHttpClient timed(boolean keepConnections, int connections, ErrorCode failureCode) {
@@ -233,6 +236,7 @@
         monitor.stop();
         servers.forEach(HttpServer::close);
         clients.forEach(HttpClient::close);
+        suspects.close();
     }
 
     private static String hostOf(String address) {
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/CallerAnswer.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/CallerAnswer.java
@@ -18,6 +18,7 @@
 public final class CallerAnswer {
     private static final String RETRY_AFTER = "Retry-After";
     private static final int STATUS_UNAVAILABLE = 503;
+    private static final int STATUS_UNPROCESSABLE = 422;
     private static final double MS_PER_SECOND = 1_000;
 
     private final HttpServerRequest http;
@@ -97,7 +98,9 @@
     private static int statusOf(ServingException failure) {
         int status = failure.code().status();
         if (failure.outcome() == Outcome.NOT_RUN) {
-            return status == 502 || status == 504 ? STATUS_UNAVAILABLE : status;
+            // Only this status promises callers that nothing has run and nothing will.
+            boolean promise = status == 502 || status == 504 || status == STATUS_UNPROCESSABLE;
+            return promise ? STATUS_UNAVAILABLE : status;
         }
         return status == 504 ? 504 : 502;
     }
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/CallerRequest.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/CallerRequest.java
@@ -3,6 +3,10 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 import java.util.Optional;
 import org.pimentovale.gateway.port.CallerAttempt;
 import org.pimentovale.kernel.serving.RequestRouting.RoutedRequest;
@@ -36,4 +40,21 @@
     public long goalMs() {
         return arrivedMs + routed.route().goalMs();
     }
+
+    /**
+     * Names the request over all its attempts, wherever they arrive.
+     *
+     * @return a hash of path, caller and body
+     */
+    public String fingerprint() {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update(
+                    (method + " " + uri + " " + attempt.key().orElse("") + "\n").getBytes(StandardCharsets.UTF_8));
+            body.ifPresent(bytes -> digest.update(bytes.getBytes()));
+            return HexFormat.of().formatHex(digest.digest());
+        } catch (NoSuchAlgorithmException missing) {
+            throw new IllegalStateException(missing);
+        }
+    }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
@@ -136,6 +136,10 @@
         if (dispatchStartedMs < 0) {
             dispatchStartedMs = nowMs;
         }
+        if (services.suspects().any() && services.suspects().isQuarantined(request.fingerprint())) {
+            fail(failureOf(ErrorCode.REQUEST_QUARANTINED, "endpoints were lost while it ran"));
+            return;
+        }
         ServingService service = request.routed().service();
         Optional<EndpointState> chosen = chooseEndpoint(nowMs);
         if (chosen.isEmpty()) {
@@ -236,6 +240,7 @@
         }
         call.close();
         call.endpoint.recordFailure(tables.nowMs());
+        suspectAfter(call, failure);
         services.metrics()
                 .endpointFailed(
                         request.routed().service().name(), failure.code().label());
@@ -247,6 +252,17 @@
         }
     }
 
+    /** A connection that ends without an answer may mean that the request has crashed its endpoint. */
+    private void suspectAfter(EndpointCall call, ServingException failure) {
+        if (failure.code() == ErrorCode.CONNECTION_LOST || failure.code() == ErrorCode.STREAM_TRUNCATED) {
+            services.suspects()
+                    .connectionLost(
+                            request.fingerprint(),
+                            call.endpoint.latest().identifier(),
+                            call.endpoint.latest().address());
+        }
+    }
+
     private void repeatOrFail(ServingException failure) {
         ServingRoute route = request.routed().route();
         mayHaveRun = true;
@@ -392,6 +408,7 @@
                 callFailed(call, failure);
             } else if (!ended && call.open) {
                 call.endpoint.recordFailure(tables.nowMs());
+                suspectAfter(call, failure);
                 answer.abort();
                 end(failure.getMessage(), 0);
             }
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestServices.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestServices.java
@@ -6,6 +6,7 @@
 import org.pimentovale.gateway.metric.GatewayMetrics;
 import org.pimentovale.gateway.port.EndpointDialect;
 import org.pimentovale.gateway.stage.StageClient;
+import org.pimentovale.gateway.suspect.SuspectExchange;
 
 /**
  * What every run of a request needs.
@@ -14,6 +15,7 @@
  * @param endpoints sends requests to endpoints
  * @param dialect what endpoints speak
  * @param stages has stages done
+ * @param suspects knows the requests that crash endpoints
  * @param metrics counts what happens
  * @param addressOfResult tells the address of the endpoint that keeps a result
  */
@@ -22,5 +24,6 @@
         EndpointClient endpoints,
         EndpointDialect dialect,
         StageClient stages,
+        SuspectExchange suspects,
         GatewayMetrics metrics,
         UnaryOperator<String> addressOfResult) {}
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
@@ -15,6 +15,8 @@
 import org.pimentovale.gateway.stage.StageOwnership;
 import org.pimentovale.gateway.stage.StageProblem;
 import org.pimentovale.gateway.stage.StageRelease;
+import org.pimentovale.gateway.suspect.SuspectExchange;
+import org.pimentovale.gateway.suspect.SuspectReport;
 import org.pimentovale.json.Json;
 import org.pimentovale.kernel.batch.StageTicket;
 import org.pimentovale.kernel.batch.StageWork;
@@ -28,6 +30,7 @@
 
     private final GatewayTables tables;
     private final StageOwnership ownership;
+    private final SuspectExchange suspects;
     private final BooleanSupplier leaving;
     private final long startedMs;
 
@@ -36,12 +39,19 @@
      *
      * @param tables what the gateway knows
      * @param ownership the dispatchers of this gateway
+     * @param suspects takes news of suspected requests
      * @param leaving tells whether this gateway is shutting down
      * @param startedMs when this gateway started, in milliseconds
      */
-    public PeerListener(GatewayTables tables, StageOwnership ownership, BooleanSupplier leaving, long startedMs) {
+    public PeerListener(
+            GatewayTables tables,
+            StageOwnership ownership,
+            SuspectExchange suspects,
+            BooleanSupplier leaving,
+            long startedMs) {
         this.tables = tables;
         this.ownership = ownership;
+        this.suspects = suspects;
         this.leaving = leaving;
         this.startedMs = startedMs;
     }
@@ -59,6 +69,7 @@
                         .putHeader(PeerPaths.UPTIME_MS, Long.toString(tables.nowMs() - startedMs))
                         .end();
             case PeerPaths.STAGE_WORK -> http.body().onSuccess(body -> stageWork(http, body.getBytes()));
+            case PeerPaths.SUSPECT -> http.body().onSuccess(body -> suspect(http, body.getBytes()));
             case PeerPaths.STAGE_RELEASE -> http.body().onSuccess(body -> stageRelease(http, body.getBytes()));
             default -> http.response().setStatusCode(404).end();
         }
@@ -96,6 +107,16 @@
         }
     }
 
+    private void suspect(HttpServerRequest http, byte[] body) {
+        try {
+            suspects.take(Json.read(body, SuspectReport.class));
+            http.response().end();
+        } catch (ServingException malformed) {
+            Events.warn(LOG, "peer_message_unreadable", "failure", malformed.getMessage());
+            answerProblem(http, malformed);
+        }
+    }
+
     private static void answerProblem(HttpServerRequest http, ServingException failure) {
         answer(http, Json.write(StageProblem.of(failure)), STATUS_UNAVAILABLE);
     }
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerPaths.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerPaths.java
@@ -6,6 +6,8 @@
     public static final String STAGE_WORK = "/stage-work";
     /** Release of results. */
     public static final String STAGE_RELEASE = "/stage-release";
+    /** News of a request that runs on endpoints which are lost. */
+    public static final String SUSPECT = "/suspect";
     /** Tells whether a gateway takes work. */
     public static final String ALIVE = "/alive";
 
--- a/kernel/src/main/java/org/pimentovale/kernel/ServingTables.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/ServingTables.java
@@ -36,10 +36,11 @@
     private static final double RETRY_SHARE = 0.1;
     private static final double RETRY_BURST = 10;
     private static final int SUSPECT_CAPACITY = 10_000;
+    private static final int QUARANTINE_LOSSES = 2;
 
     private final ConfigurationTable configuration = new ConfigurationTable();
     private final WarmthTable warmth = new WarmthTable();
-    private final SuspectTable suspects = new SuspectTable(SUSPECT_CAPACITY);
+    private final SuspectTable suspects = new SuspectTable(SUSPECT_CAPACITY, QUARANTINE_LOSSES);
     private final Map<String, PoolScheduler> schedulers = new ConcurrentHashMap<>();
     private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
     private final MonotonicClock clock;
--- a/kernel/src/main/java/org/pimentovale/kernel/suspect/SuspectTable.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/suspect/SuspectTable.java
@@ -7,23 +7,23 @@
 /**
  * Fingerprints of requests that were running on endpoints when these were lost.
  *
- * <p>Invariant: a fingerprint with as many lost endpoints as {@link #QUARANTINE_LOSSES} never leaves quarantine before
+ * <p>Invariant: a fingerprint with as many lost endpoints as make a quarantine never leaves it before
  * it is forgotten by capacity. Thread safe; its lock is a leaf.
  */
 public final class SuspectTable {
-    /** Lost endpoints after which a request is not run again. */
-    public static final int QUARANTINE_LOSSES = 2;
-
     private final LinkedHashMap<String, Set<String>> losses = new LinkedHashMap<>();
     private final int capacity;
+    private final int quarantineLosses;
 
     /**
      * Creates an empty table.
      *
      * @param capacity the largest number of fingerprints
+     * @param quarantineLosses lost endpoints after which a request is not run again
      */
-    public SuspectTable(int capacity) {
+    public SuspectTable(int capacity, int quarantineLosses) {
         this.capacity = capacity;
+        this.quarantineLosses = quarantineLosses;
     }
 
     /**
@@ -49,7 +49,7 @@
      */
     public synchronized void clear(String fingerprint) {
         Set<String> endpoints = losses.get(fingerprint);
-        if (endpoints != null && endpoints.size() < QUARANTINE_LOSSES) {
+        if (endpoints != null && endpoints.size() < quarantineLosses) {
             losses.remove(fingerprint);
         }
     }
@@ -65,6 +65,6 @@
         if (lost == 0) {
             return SuspectVerdict.CLEAR;
         }
-        return lost < QUARANTINE_LOSSES ? SuspectVerdict.RUN_ALONE : SuspectVerdict.QUARANTINED;
+        return lost < quarantineLosses ? SuspectVerdict.RUN_ALONE : SuspectVerdict.QUARANTINED;
     }
 }
--- a/kernel/src/test/java/org/pimentovale/kernel/suspect/SuspectTableTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/suspect/SuspectTableTest.java
@@ -10,7 +10,7 @@
     class AfterLosses {
         @Test
         void theSecondDistinctEndpointQuarantinesForGood() {
-            SuspectTable table = new SuspectTable(100);
+            SuspectTable table = new SuspectTable(100, 2);
             assertThat(table.verdict("request")).isEqualTo(SuspectVerdict.CLEAR);
             table.recordLoss("request", "host:1#a");
             table.recordLoss("request", "host:1#a");
@@ -22,7 +22,7 @@
 
         @Test
         void aCleanAnswerClearsAnInnocentRequest() {
-            SuspectTable table = new SuspectTable(100);
+            SuspectTable table = new SuspectTable(100, 2);
             table.recordLoss("request", "host:1#a");
             table.clear("request");
             assertThat(table.verdict("request")).isEqualTo(SuspectVerdict.CLEAR);
--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
@@ -31,6 +32,8 @@
     private final List<Arrival> arrivals = new ArrayList<>();
     private final CompletableFuture<Void> firstDisconnect = new CompletableFuture<>();
     private EndpointBehaviour otherwise = EndpointBehaviour.ANSWER;
+    private NetServer server;
+    private Optional<String> crashText = Optional.empty();
 
     /**
      * A request that arrived.
@@ -64,10 +67,8 @@
         if (resetsOnClose) {
             options.setSoLinger(0);
         }
-        return vertx.createNetServer(options)
-                .connectHandler(this::connected)
-                .listen()
-                .map(NetServer::actualPort);
+        server = vertx.createNetServer(options).connectHandler(this::connected);
+        return server.listen().map(NetServer::actualPort);
     }
 
     /**
@@ -88,6 +89,15 @@
         otherwise = behaviour;
     }
 
+    /**
+     * Lets requests crash the endpoint: it closes its listener and all connections, and does not come back.
+     *
+     * @param text what the body of such a request holds
+     */
+    public synchronized void crashOn(String text) {
+        crashText = Optional.of(text);
+    }
+
     /**
      * Returns the requests that arrived.
      *
@@ -158,6 +168,8 @@
         if (!identifier.equals(arrival.headers().get("x-expect-instance"))) {
             socket.write("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + identifier
                     + "\r\nContent-Length: 0\r\n\r\n");
+        } else if (crashText.filter(arrival.body()::contains).isPresent()) {
+            server.close().onComplete(closed -> socket.close());
         } else if (arrival.line().startsWith("POST /stage-run") && script.isEmpty()) {
             runPieces(arrival, socket);
         } else if (arrival.line().startsWith("POST /stage-free")) {
