--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/EndpointCandidates.java
@@ -0,0 +1,60 @@
+package org.pimentovale.gateway.caller;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.pimentovale.gateway.GatewayTables;
+import org.pimentovale.kernel.directory.EndpointState;
+import org.pimentovale.kernel.placement.EndpointChooser;
+import org.pimentovale.kernel.placement.PromptPart;
+import org.pimentovale.kernel.serving.ServingService;
+
+/**
+ * The endpoints to which one request may go, and those it has been sent to. Not thread safe; used on one event loop.
+ */
+final class EndpointCandidates {
+    private final CallerRequest request;
+    private final GatewayTables tables;
+    private final Set<String> tried = new HashSet<>();
+
+    EndpointCandidates(CallerRequest request, GatewayTables tables) {
+        this.request = request;
+        this.tables = tables;
+    }
+
+    /** Chooses the best endpoint that may take the request now. */
+    Optional<EndpointState> choose(long nowMs) {
+        ServingService service = request.routed().service();
+        List<EndpointState> usable = tables.endpoints().usable(service.name()).stream()
+                .filter(endpoint -> mayTakeNow(endpoint, service, nowMs))
+                .toList();
+        return EndpointChooser.choose(
+                usable,
+                tried,
+                request.attempt().sharedPart().map(PromptPart::identifier),
+                tables.peers().self().zone(),
+                nowMs);
+    }
+
+    private boolean mayTakeNow(EndpointState endpoint, ServingService service, long nowMs) {
+        return !endpoint.cold(nowMs)
+                || service.coldRequestsPerSecond() <= 0
+                || tables.coldShare()
+                        .available(
+                                endpoint.latest().identifier(),
+                                service.coldRequestsPerSecond(),
+                                tables.peers().names(),
+                                nowMs);
+    }
+
+    void markTried(String identifier) {
+        tried.add(identifier);
+    }
+
+    /** Tells whether there is an endpoint to which the request has not been sent. */
+    boolean anyUntried() {
+        return tables.endpoints().usable(request.routed().service().name()).stream()
+                .anyMatch(endpoint -> !tried.contains(endpoint.latest().identifier()));
+    }
+}
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestRun.java
@@ -3,7 +3,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerResponse;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -17,8 +16,6 @@
 import org.pimentovale.gateway.port.AnswerHead;
 import org.pimentovale.gateway.port.Dispatch;
 import org.pimentovale.kernel.directory.EndpointState;
-import org.pimentovale.kernel.placement.EndpointChooser;
-import org.pimentovale.kernel.placement.PromptPart;
 import org.pimentovale.kernel.serving.RequestKind;
 import org.pimentovale.kernel.serving.ServingConfiguration;
 import org.pimentovale.kernel.serving.ServingRoute;
@@ -47,7 +44,7 @@
     private final GatewayTables tables;
     private final RequestServices services;
     private final Consumer<RequestRun> onEnd;
-    private final Set<String> tried = new HashSet<>();
+    private final EndpointCandidates candidates;
     private Optional<StagePhase> stagePhase = Optional.empty();
     private Optional<List<String>> stageResults = Optional.empty();
     private Optional<EndpointCall> current = Optional.empty();
@@ -102,6 +99,7 @@
         this.tables = tables;
         this.services = services;
         this.onEnd = onEnd;
+        this.candidates = new EndpointCandidates(request, tables);
     }
 
     /** Starts the run once the request has been read. */
@@ -111,13 +109,16 @@
         }
         long leftMs = request.deadlineMs() - tables.nowMs();
         deadlineTimer = services.vertx().setTimer(Math.max(1, leftMs), fired -> expire());
+        if (refuseQuarantined()) {
+            return;
+        }
         if (request.routed().route().stages().isEmpty()) {
             dispatch();
             return;
         }
         // The results are best made where the request will probably run.
-        Optional<String> zone =
-                chooseEndpoint(tables.nowMs()).map(endpoint -> endpoint.latest().zone());
+        Optional<String> zone = candidates.choose(tables.nowMs()).map(endpoint -> endpoint.latest()
+                .zone());
         StagePhase phase = new StagePhase(services, request, tables, zone);
         stagePhase = Optional.of(phase);
         phase.start()
@@ -128,6 +129,14 @@
                 .onFailure(failure -> fail(ServingException.of(failure)));
     }
 
+    private boolean refuseQuarantined() {
+        boolean quarantined = services.suspects().any() && services.suspects().isQuarantined(request.fingerprint());
+        if (quarantined) {
+            fail(failureOf(ErrorCode.REQUEST_QUARANTINED, "endpoints were lost while it ran"));
+        }
+        return quarantined;
+    }
+
     private void dispatch() {
         if (ended) {
             return;
@@ -136,12 +145,11 @@
         if (dispatchStartedMs < 0) {
             dispatchStartedMs = nowMs;
         }
-        if (services.suspects().any() && services.suspects().isQuarantined(request.fingerprint())) {
-            fail(failureOf(ErrorCode.REQUEST_QUARANTINED, "endpoints were lost while it ran"));
+        if (refuseQuarantined()) {
             return;
         }
         ServingService service = request.routed().service();
-        Optional<EndpointState> chosen = chooseEndpoint(nowMs);
+        Optional<EndpointState> chosen = candidates.choose(nowMs);
         if (chosen.isEmpty()) {
             waitForEndpoint(nowMs);
         } else if (sentBefore && !tables.tryTakeRepeat(service.name())) {
@@ -151,30 +159,6 @@
         }
     }
 
-    private Optional<EndpointState> chooseEndpoint(long nowMs) {
-        ServingService service = request.routed().service();
-        List<EndpointState> usable = tables.endpoints().usable(service.name()).stream()
-                .filter(endpoint -> mayTakeNow(endpoint, service, nowMs))
-                .toList();
-        return EndpointChooser.choose(
-                usable,
-                tried,
-                request.attempt().sharedPart().map(PromptPart::identifier),
-                tables.peers().self().zone(),
-                nowMs);
-    }
-
-    private boolean mayTakeNow(EndpointState endpoint, ServingService service, long nowMs) {
-        return !endpoint.cold(nowMs)
-                || service.coldRequestsPerSecond() <= 0
-                || tables.coldShare()
-                        .available(
-                                endpoint.latest().identifier(),
-                                service.coldRequestsPerSecond(),
-                                tables.peers().names(),
-                                nowMs);
-    }
-
     private void waitForEndpoint(long nowMs) {
         long longestMs = request.routed().route().goalMs() / HELD_SHARE_OF_GOAL;
         if (mayHaveRun || nowMs - dispatchStartedMs >= longestMs) {
@@ -199,7 +183,7 @@
             tables.coldShare().recordSend(identifier, service.coldRequestsPerSecond(), nowMs);
         }
         sentBefore = true;
-        tried.add(identifier);
+        candidates.markTried(identifier);
         Dispatch dispatch = new Dispatch(
                 identifier, leftMs, request.routed().workspace().map(workspace -> workspace.name()), stageResults);
         EndpointCall call = new EndpointCall(
@@ -303,10 +287,7 @@
 
     private boolean mayTryAnother() {
         ServingRoute route = request.routed().route();
-        return route.mayRepeat()
-                && endpointsThatMayHaveRun + 1 < route.maximumEndpoints()
-                && tables.endpoints().usable(request.routed().service().name()).stream()
-                        .anyMatch(endpoint -> !tried.contains(endpoint.latest().identifier()));
+        return route.mayRepeat() && endpointsThatMayHaveRun + 1 < route.maximumEndpoints() && candidates.anyUntried();
     }
 
     private void refusedByEndpoint(EndpointCall call, AnswerHead head) {
--- a/gateway/src/main/java/org/pimentovale/gateway/suspect/SuspectExchange.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/suspect/SuspectExchange.java
@@ -1,5 +1,6 @@
 package org.pimentovale.gateway.suspect;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -24,10 +25,10 @@
 /**
  * Finds the requests that crash the endpoints which run them, wherever their attempts arrive.
  *
- * <p>A lost connection counts where the endpoint then refuses another. Each fingerprint has an owner among the gateways,
- * which counts the endpoints that were lost and tells all others once there are too many; a loss thus costs one message
- * and not one for each gateway. What a dead owner has counted is lost, and counted anew by the next. Not thread safe;
- * used on one event loop.
+ * <p>A lost connection counts where the endpoint then refuses another. Each fingerprint has an owner among the
+ * gateways, which counts the endpoints that were lost and tells all others once there are too many; a loss thus costs
+ * one message and not one for each gateway. What a dead owner has counted is lost, and counted anew by the next. Not
+ * thread safe; used on one event loop.
  */
 public final class SuspectExchange {
     private static final Logger LOG = Logger.getLogger(SuspectExchange.class);
@@ -92,7 +93,12 @@
         int colon = address.lastIndexOf(':');
         probes.connect(Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon))
                 .onSuccess(NetSocket::close)
-                .onFailure(refused -> tellOwner(new SuspectReport(fingerprint, Optional.of(endpoint))));
+                .onFailure(failure -> {
+                    // Silence may be the network's; only a refusal shows that nobody listens there any more.
+                    if (!(failure instanceof ConnectTimeoutException)) {
+                        tellOwner(new SuspectReport(fingerprint, Optional.of(endpoint)));
+                    }
+                });
     }
 
     private void tellOwner(SuspectReport report) {
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.fasterxml.jackson.databind.node.MissingNode;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -20,7 +21,6 @@
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectPage;
 import org.pimentovale.gateway.port.ObjectSource;
-import org.pimentovale.json.Json;
 
 class ObjectFeedTest {
     private static final int CHANGES = 4;
@@ -51,7 +51,7 @@
                 quiet.complete(null);
                 return Promise.<ObjectChanges>promise().future();
             }
-            ObjectEntry entry = new ObjectEntry("name", revision + 1, Json.readTree("{}".getBytes()));
+            ObjectEntry entry = new ObjectEntry("name", revision + 1, MissingNode.getInstance());
             return Future.succeededFuture(
                     new ObjectChanges(List.of(new ObjectChanges.Change(entry, false)), revision + 1));
         }
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
@@ -11,9 +11,9 @@
  *
  * <p>It answers the load of bursts: a call costs nearly the same however many pieces it holds, so each call is filled
  * from all requests. Work that can still meet its goal goes first, by the time left, in which more urgent work has a
- * head start; work that can only be late fills what remains. Work that prefers an availability zone waits for an endpoint there as long as its
- * goal allows and little waits, since results that cross zones cost more than a short wait. Invariant: a piece is
- * handed out once until it is put back. Not thread safe.
+ * head start; work that can only be late fills what remains. Work that prefers an availability zone waits for an
+ * endpoint there as long as its goal allows and little waits, since results that cross zones cost more than a short
+ * wait. Invariant: a piece is handed out once until it is put back. Not thread safe.
  */
 public final class StageQueue {
     private static final double LEAST_ZONE_PATIENCE_CALLS = 1;
@@ -68,7 +68,8 @@
         int piecesBefore = 0;
         for (StageTicket ticket : inOrder(limits, nowMs)) {
             int pieces = ticket.waitingPieces();
-            long waitMs = ticket.untouched() ? (long) (piecesBefore / piecesPerRound * fullCallMs) : 0;
+            int roundsBefore = piecesBefore / piecesPerRound;
+            long waitMs = ticket.untouched() ? (long) (roundsBefore * fullCallMs) : 0;
             double endMs = nowMs + waitMs + limits.durationMs(Math.min(pieces, limits.piecesPerCall()));
             boolean longPastGoal = ticket.untouched() && nowMs + waitMs > ticket.dueMs() + LATE_PATIENCE_MS;
             if (longPastGoal || endMs > ticket.deadlineMs()) {
