--- a/gateway/src/main/java/org/pimentovale/gateway/rehearsal/Rehearsal.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/rehearsal/Rehearsal.java
@@ -44,7 +44,7 @@
     static final String HOST = "127.0.0.1";
 
     private static final Logger LOG = Logger.getLogger(Rehearsal.class);
-    private static final int REQUESTS = 120;
+    private static final int REQUESTS = 250;
     private static final long LONGEST_MS = 20_000;
     private static final int BUSY_CHECK_MS = 20;
     private static final int REQUEST_TIMEOUT_MS = 4_000;
