--- a/gateway/src/main/java/org/pimentovale/gateway/feed/StoreFollower.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/StoreFollower.java
@@ -27,9 +27,9 @@
 public final class StoreFollower {
     private static final Logger LOG = Logger.getLogger(StoreFollower.class);
     // A connection that went silent is noticed at the end of a wait, and within the bounds for changes.
-    private static final int CONFIGURATION_WAIT_MS = 4_000;
-    private static final int ENDPOINTS_WAIT_MS = 4_000;
-    private static final int ZONES_WAIT_MS = 7_000;
+    private static final int CONFIGURATION_WAIT_MS = 2_000;
+    private static final int ENDPOINTS_WAIT_MS = 2_000;
+    private static final int ZONES_WAIT_MS = 3_000;
     private static final int INSTANCES_WAIT_MS = 25_000;
     private static final int INSTANCES_GATHER_MS = 1_000;
     // All gateways read each change, so the more there are, the more changes each call should bring.
