A feed backs off where its list cannot go on; lists are fresh again

Change: lists are as fresh as their call, only watches of gateways may be stale; after a second lost history in a row the feed pauses, longer each time. Test: ObjectFeedTest.asksLessAndLessOften..., red before.

--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -36,6 +36,7 @@
     private long revision = -1;
     private boolean away;
     private int pauseMs = FIRST_PAUSE_MS;
+    private boolean historyLostBefore;
     private boolean stopped;
 
     /**
@@ -108,6 +109,8 @@
 
     private void takeChanges(ObjectChanges changes) {
         answered();
+        pauseMs = FIRST_PAUSE_MS;
+        historyLostBefore = false;
         for (ObjectChanges.Change change : changes.changes()) {
             if (change.removed()) {
                 listener.removed(change.entry());
@@ -125,7 +128,6 @@
     }
 
     private void answered() {
-        pauseMs = FIRST_PAUSE_MS;
         if (away) {
             away = false;
             Events.info(LOG, "store_regained", "kind", kind, "revision", revision);
@@ -145,7 +147,9 @@
         if (stopped) {
             return;
         }
-        int pause = historyLost ? 1 : pauseMs / 2 + random.nextInt(pauseMs);
+        // A list that names a lost revision again does not help; asking at once would only burden the store.
+        int pause = historyLost && !historyLostBefore ? 1 : pauseMs / 2 + random.nextInt(pauseMs);
+        historyLostBefore = historyLost;
         pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
         boolean listAgain = historyLost || revision < 0;
         vertx.setTimer(pause, fired -> {
--- a/gateway/src/main/java/org/pimentovale/gateway/port/ObjectSource.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ObjectSource.java
@@ -6,7 +6,7 @@
 /** The platform's store, as a gateway uses it. Every call ends within a bounded time. Thread safe. */
 public interface ObjectSource {
     /**
-     * Lists a kind, no staler than its call; only {@link ObjectKind#INSTANCES} may be seconds old.
+     * Lists a kind, no staler than its call.
      *
      * @param kind the kind
      * @param after the name behind which the list goes on, empty for its beginning
@@ -15,7 +15,7 @@
     Future<ObjectPage> list(ObjectKind kind, Optional<String> after);
 
     /**
-     * Waits for changes of a kind.
+     * Waits for changes of a kind; those of {@link ObjectKind#INSTANCES} may come seconds late.
      *
      * @param kind the kind
      * @param revision the revision behind which changes are wanted
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
 import org.pimentovale.gateway.port.InstanceRecord;
 import org.pimentovale.gateway.port.ObjectChanges;
 import org.pimentovale.gateway.port.ObjectEntry;
@@ -25,6 +27,8 @@
 class ObjectFeedTest {
     private static final int CHANGES = 4;
     private static final int GATHER_MS = 60;
+    private static final int LISTS = 5;
+    private static final long LEAST_TIME_OF_LISTS_MS = 690;
 
     private final Vertx vertx = Vertx.vertx();
     private final BusyStore store = new BusyStore();
@@ -67,6 +71,37 @@
         }
     }
 
+    /** A store whose lists always name a revision behind which it knows nothing. */
+    private static final class ForgetfulStore implements ObjectSource {
+        private final List<Long> listedNs = new ArrayList<>();
+        private final CompletableFuture<Void> listedOften = new CompletableFuture<>();
+
+        @Override
+        public Future<ObjectPage> list(ObjectKind kind, Optional<String> after) {
+            listedNs.add(System.nanoTime());
+            if (listedNs.size() == LISTS) {
+                listedOften.complete(null);
+                return Promise.<ObjectPage>promise().future();
+            }
+            return Future.succeededFuture(new ObjectPage(List.of(), false, 1));
+        }
+
+        @Override
+        public Future<ObjectChanges> watch(ObjectKind kind, long revision, int waitMs) {
+            return Future.failedFuture(ServingException.notRun(ErrorCode.HISTORY_LOST, "behind " + revision));
+        }
+
+        @Override
+        public Future<Void> announce(InstanceRecord instance) {
+            return Future.succeededFuture();
+        }
+
+        @Override
+        public Future<Void> withdraw(String name) {
+            return Future.succeededFuture();
+        }
+    }
+
     private static final class CountingListener implements FeedListener {
         private int changes;
 
@@ -88,6 +123,24 @@
 
     @Nested
     class AFeed {
+        @Test
+        void asksLessAndLessOftenWhereEachListIsTooOldToGoOn() throws Exception {
+            ForgetfulStore forgetful = new ForgetfulStore();
+            ObjectFeed feed = new ObjectFeed(
+                    vertx,
+                    forgetful,
+                    ObjectKind.INSTANCES,
+                    new FeedPace(1_000, () -> 0),
+                    new CountingListener(),
+                    new SplittableRandom(1));
+            vertx.runOnContext(run -> feed.start());
+            forgetful.listedOften.get(10, TimeUnit.SECONDS);
+
+            // The first repeat is made at once; the least pauses behind it are 100, 200 and 400 ms.
+            long tookNs = forgetful.listedNs.get(LISTS - 1) - forgetful.listedNs.get(0);
+            assertThat(tookNs).isAtLeast(TimeUnit.MILLISECONDS.toNanos(LEAST_TIME_OF_LISTS_MS));
+        }
+
         @Test
         void letsChangesGatherBeforeItAsksAgain() throws Exception {
             CountingListener listener = new CountingListener();
