Log the shared prompt parts of a request whose endpoint connection was lost

endpoint_lost names only a fingerprint, so the logs could not show whether the crashes had a part in common. request_lost names the endpoint, whether the answer had begun, and the shared parts.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
@@ -247,6 +247,14 @@
     /** Reports a lost connection, since the request may have crashed the endpoint. */
     private void reportSuspect(EndpointCall call, ServingException failure) {
         if (failure.code() == ErrorCode.CONNECTION_LOST || failure.code() == ErrorCode.STREAM_TRUNCATED) {
+            log(
+                    "request_lost",
+                    "endpoint",
+                    call.endpoint.latest().identifier(),
+                    "answer_begun",
+                    callerResponse.started(),
+                    "shared_parts",
+                    request.attempt().sharedParts());
             services.suspects()
                     .reportConnectionLoss(
                             request.fingerprint(),
--- a/gateway/src/main/java/org/pimentovale/gateway/port/CallerAttempt.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/CallerAttempt.java
@@ -28,6 +28,18 @@
         prompt = List.copyOf(prompt);
     }
 
+    /**
+     * Returns the prompt parts that other requests may share.
+     *
+     * @return the identifiers of all parts but the last, in the order of the prompt
+     */
+    public List<String> sharedParts() {
+        return prompt.stream()
+                .limit(Math.max(0, prompt.size() - 1))
+                .map(PromptPart::identifier)
+                .toList();
+    }
+
     /**
      * Returns the last part of the longest prompt prefix that other requests may share.
      *
