Failing test: different requests that share a prompt part crash every endpoint

Two gateways, 14 engine stand-ins that crash on one part of the prompt; 14 requests with that part and otherwise different prompts reach 14 engines, 8 are the bound, and sound requests with the same first part then get 503.

--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
@@ -11,13 +11,16 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Stand-in for an engine or a service endpoint that can send faulty and malformed responses.
@@ -31,10 +34,12 @@
     private final boolean resetsOnClose;
     private final Deque<EndpointBehaviour> scriptedBehaviours = new ArrayDeque<>();
     private final List<ReceivedRequest> receivedRequests = new ArrayList<>();
+    private final Set<NetSocket> connections = ConcurrentHashMap.newKeySet();
     private final CompletableFuture<Void> firstDisconnect = new CompletableFuture<>();
     private EndpointBehaviour defaultBehaviour = EndpointBehaviour.RESPOND;
     private NetServer server;
     private Optional<String> crashText = Optional.empty();
+    private Optional<String> crashPromptPart = Optional.empty();
 
     /**
      * A request as received.
@@ -99,6 +104,16 @@
         crashText = Optional.of(text);
     }
 
+    /**
+     * Makes the endpoint crash on requests whose prompt contains a part, after the head of the response: it closes its
+     * listener and all connections, and does not restart.
+     *
+     * @param part the identifier of the prompt part
+     */
+    public synchronized void crashOnPromptPart(String part) {
+        crashPromptPart = Optional.of(part);
+    }
+
     /**
      * Returns the requests received so far.
      *
@@ -138,7 +153,11 @@
 
     private void handleConnection(NetSocket socket) {
         Buffer received = Buffer.buffer();
-        socket.closeHandler(closed -> firstDisconnect.complete(null));
+        connections.add(socket);
+        socket.closeHandler(closed -> {
+            connections.remove(socket);
+            firstDisconnect.complete(null);
+        });
         socket.handler(chunk -> {
             received.appendBuffer(chunk);
             handleIfComplete(received.toString(StandardCharsets.ISO_8859_1), socket);
@@ -170,7 +189,12 @@
             socket.write("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + identifier
                     + "\r\nContent-Length: 0\r\n\r\n");
         } else if (crashText.filter(request.body()::contains).isPresent()) {
-            server.close().onComplete(closed -> socket.close());
+            crash();
+        } else if (crashPromptPart.filter(part -> hasPromptPart(request, part)).isPresent()) {
+            socket.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.headers().get("x-attempt-id")
+                    + "\r\nX-Server-Stamp: stamp-1\r\nContent-Type: text/event-stream\r\n"
+                    + "Transfer-Encoding: chunked\r\n\r\n");
+            crash();
         } else if (request.requestLine().startsWith("POST /stage-run") && scriptedBehaviours.isEmpty()) {
             runPieces(request, socket);
         } else if (request.requestLine().startsWith("POST /stage-free")) {
@@ -181,6 +205,16 @@
         }
     }
 
+    private static boolean hasPromptPart(ReceivedRequest request, String part) {
+        return Arrays.stream(
+                        request.headers().getOrDefault("x-prompt-prefix", "").split(",", -1))
+                .anyMatch(entry -> entry.startsWith(part + ":"));
+    }
+
+    private void crash() {
+        server.close().onComplete(closed -> List.copyOf(connections).forEach(NetSocket::close));
+    }
+
     private void runPieces(ReceivedRequest request, NetSocket socket) {
         JsonArray results = new JsonArray();
         for (Object item : new JsonObject(request.body()).getJsonArray("items")) {
