Quarantine the prompt part that crashes endpoints, not only the whole request

Callers saw: requests of one kind crashed engine after engine; sound requests on the same engines were cut or got 502. Ruled out: losses not seen (all lost engines are in endpoint_lost), reports lost between gateways (no suspect_report_failed). Change: suspect keys are the request and each shared prompt part; losses count by incarnation of the endpoint, answers clear the parts they contain; all gateways count all losses, so that no owner's end loses them; quarantined keys are stored for gateways that start later.

--- a/daemon/src/main/java/org/pimentovale/daemon/caller/RequestValidator.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/caller/RequestValidator.java
@@ -8,9 +8,9 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
-import org.pimentovale.daemon.claim.ClaimLedger;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
+import org.pimentovale.hash.Sha256;
 import org.pimentovale.json.Json;
 import org.pimentovale.kernel.ServingTables;
 import org.pimentovale.kernel.claim.IdempotencyKey;
@@ -45,7 +45,7 @@
         if (body == null || !body.isObject()) {
             throw ServingException.notRun(ErrorCode.MALFORMED_BODY, "not a JSON object");
         }
-        String fingerprint = ClaimLedger.digest((kind + "\n" + body).getBytes(StandardCharsets.UTF_8));
+        String fingerprint = Sha256.hex((kind + "\n" + body).getBytes(StandardCharsets.UTF_8));
         return new CallerRequest(
                 identifier,
                 route,
--- a/daemon/src/main/java/org/pimentovale/daemon/claim/ClaimLedger.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/claim/ClaimLedger.java
@@ -3,9 +3,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jboss.logging.Logger;
@@ -13,6 +10,7 @@
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.Outcome;
 import org.pimentovale.error.ServingException;
+import org.pimentovale.hash.Sha256;
 import org.pimentovale.json.Json;
 import org.pimentovale.kernel.claim.ClaimRecord;
 import org.pimentovale.kernel.claim.ClaimState;
@@ -80,21 +78,7 @@
      * @return a SHA-256 digest in hexadecimal digits
      */
     public static String claimName(String workspace, String kind, String key) {
-        return digest((workspace + '\n' + kind + '\n' + key).getBytes(StandardCharsets.UTF_8));
-    }
-
-    /**
-     * Returns the SHA-256 digest of bytes.
-     *
-     * @param bytes the input
-     * @return 64 hexadecimal digits
-     */
-    public static String digest(byte[] bytes) {
-        try {
-            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
-        } catch (NoSuchAlgorithmException impossible) {
-            throw new IllegalStateException(impossible);
-        }
+        return Sha256.hex((workspace + '\n' + kind + '\n' + key).getBytes(StandardCharsets.UTF_8));
     }
 
     /**
--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -115,11 +115,11 @@
         this.stageDispatchers = new StageDispatchers(
                 service -> new StageDispatcher(vertx, tables, stageEndpointClient, metrics, service));
         this.stageClient = new StageClient(tables, peerCalls, stageDispatchers);
-        this.synchronizer =
-                new StoreSynchronizer(vertx, store, platform.objectReader(), tables, random, this::tablesChanged);
         this.monitor = new PeerMonitor(vertx, tables, peerCalls, this::stageServiceNames, stageClient::resubmitFrom);
         EndpointClient endpointClient = new EndpointClient(newClient(false, MAX_CONNECTIONS_PER_HOST));
-        this.suspects = new SuspectTracker(vertx, tables, peerCalls);
+        this.suspects = new SuspectTracker(vertx, tables, peerCalls, store);
+        this.synchronizer = new StoreSynchronizer(
+                vertx, store, platform.objectReader(), tables, suspects, random, this::tablesChanged);
         RequestServices services = new RequestServices(
                 vertx,
                 endpointClient,
@@ -197,6 +197,7 @@
                     callerPort = port;
                     synchronizer.start();
                     monitor.start();
+                    suspects.start();
                     register();
                     Events.info(LOG, "gateway_started", "name", settings.name(), "zone", settings.zone());
                 })
@@ -224,7 +225,7 @@
     /**
      * Tells whether callers' requests can be served.
      *
-     * @return whether the configuration, the endpoints and the withdrawn zones have been loaded
+     * @return whether the configuration, the endpoints, the withdrawn zones and the quarantined keys have been loaded
      */
     public boolean ready() {
         return tables.ready();
--- a/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
@@ -105,12 +105,13 @@
     /**
      * Tells whether requests can be served.
      *
-     * @return whether the configuration, the endpoints and the withdrawn zones have been loaded
+     * @return whether the configuration, the endpoints, the withdrawn zones and the quarantined keys have been loaded
      */
     public boolean ready() {
         return configuration.isPresent()
                 && listedKinds.contains(ObjectKind.ENDPOINTS)
-                && listedKinds.contains(ObjectKind.WITHDRAWN_ZONES);
+                && listedKinds.contains(ObjectKind.WITHDRAWN_ZONES)
+                && listedKinds.contains(ObjectKind.QUARANTINES);
     }
 
     /**
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/CallerRequest.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/CallerRequest.java
@@ -4,11 +4,10 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Optional;
 import org.pimentovale.gateway.port.CallerAttempt;
+import org.pimentovale.hash.Sha256;
+import org.pimentovale.kernel.quarantine.LostRequest;
 import org.pimentovale.kernel.serving.RequestRouting.RoutedRequest;
 
 /**
@@ -47,14 +46,18 @@
      * @return the hexadecimal SHA-256 of method, URI, caller's key and body
      */
     public String fingerprint() {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            digest.update(
-                    (method + " " + uri + " " + attempt.key().orElse("") + "\n").getBytes(StandardCharsets.UTF_8));
-            body.ifPresent(bytes -> digest.update(bytes.getBytes()));
-            return HexFormat.of().formatHex(digest.digest());
-        } catch (NoSuchAlgorithmException missing) {
-            throw new IllegalStateException(missing);
-        }
+        String head = method + " " + uri + " " + attempt.key().orElse("") + "\n";
+        return Sha256.hex(
+                head.getBytes(StandardCharsets.UTF_8),
+                body.map(Buffer::getBytes).orElse(new byte[0]));
+    }
+
+    /**
+     * Returns what identifies this request if its endpoint is lost.
+     *
+     * @return the fingerprint and the shared prompt parts
+     */
+    public LostRequest lostRequest() {
+        return new LostRequest(fingerprint(), attempt.sharedParts());
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
@@ -130,12 +131,16 @@
     }
 
     private boolean refuseQuarantined() {
-        boolean quarantined =
-                services.suspects().hasQuarantined() && services.suspects().isQuarantined(request.fingerprint());
-        if (quarantined) {
-            fail(createFailure(ErrorCode.REQUEST_QUARANTINED, "connections to endpoints were lost while it ran"));
-        }
-        return quarantined;
+        OptionalLong remainingMs = services.suspects()
+                .remainingQuarantineMs(() -> request.attempt().sharedParts(), request::fingerprint);
+        if (remainingMs.isEmpty()) {
+            return false;
+        }
+        fail(createFailure(
+                        ErrorCode.REQUEST_QUARANTINED,
+                        "endpoints were lost while they ran it or requests that share a prompt part with it")
+                .withRetryAfter(remainingMs.getAsLong()));
+        return true;
     }
 
     private void dispatch() {
@@ -244,7 +249,7 @@
         }
     }
 
-    /** Reports a lost connection, since the request may have crashed the endpoint. */
+    /** Reports a lost connection, since the request may have crashed the endpoint unless its answer had begun. */
     private void reportSuspect(EndpointCall call, ServingException failure) {
         if (failure.code() == ErrorCode.CONNECTION_LOST || failure.code() == ErrorCode.STREAM_TRUNCATED) {
             log(
@@ -255,11 +260,9 @@
                     callerResponse.started(),
                     "shared_parts",
                     request.attempt().sharedParts());
-            services.suspects()
-                    .reportConnectionLoss(
-                            request.fingerprint(),
-                            call.endpoint.latest().identifier(),
-                            call.endpoint.latest().address());
+            if (!callerResponse.started()) {
+                services.suspects().recordConnectionLoss(call.endpoint.latest(), request.lostRequest());
+            }
         }
     }
 
@@ -344,6 +347,9 @@
         if (status < 500) {
             call.endpoint.recordSuccess();
         }
+        if (status < 300) {
+            services.suspects().recordAnswer(request.attempt().sharedParts());
+        }
         end("answered", status);
     }
 
@@ -352,6 +358,7 @@
         private final EndpointCall call;
         private final HttpClientResponse response;
         private Optional<HttpServerResponse> callerStream = Optional.empty();
+        private boolean continued;
 
         private StreamRelay(EndpointCall call, HttpClientResponse response) {
             this.call = call;
@@ -384,6 +391,10 @@
             if (ended || !call.open) {
                 return;
             }
+            if (callerStream.isPresent() && !continued) {
+                continued = true;
+                services.suspects().recordAnswer(request.attempt().sharedParts());
+            }
             HttpServerResponse target = begin();
             target.write(part);
             if (target.writeQueueFull()) {
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/QuarantineListener.java
@@ -0,0 +1,52 @@
+package org.pimentovale.gateway.feed;
+
+import java.util.List;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import org.pimentovale.gateway.GatewayTables;
+import org.pimentovale.gateway.port.ObjectEntry;
+import org.pimentovale.gateway.port.ObjectKind;
+import org.pimentovale.gateway.port.ObjectReader;
+import org.pimentovale.gateway.suspect.SuspectTracker;
+import org.pimentovale.kernel.quarantine.SuspectKey;
+import org.pimentovale.log.Events;
+
+/** Passes the stored quarantined keys to the tracker of suspects. Not thread safe; used on one event loop. */
+final class QuarantineListener implements FeedListener {
+    private static final Logger LOG = Logger.getLogger(QuarantineListener.class);
+
+    private final ObjectReader reader;
+    private final GatewayTables tables;
+    private final SuspectTracker suspects;
+
+    QuarantineListener(ObjectReader reader, GatewayTables tables, SuspectTracker suspects) {
+        this.reader = reader;
+        this.tables = tables;
+        this.suspects = suspects;
+    }
+
+    @Override
+    public void listed(List<ObjectEntry> entries) {
+        suspects.storedKeysListed(
+                entries.stream().flatMap(entry -> decode(entry).stream()).toList());
+        tables.markListed(ObjectKind.QUARANTINES);
+    }
+
+    @Override
+    public void changed(ObjectEntry entry) {
+        decode(entry).ifPresent(suspects::storedKeyAdded);
+    }
+
+    @Override
+    public void removed(ObjectEntry entry) {
+        decode(entry).ifPresent(suspects::storedKeyRemoved);
+    }
+
+    private Optional<SuspectKey> decode(ObjectEntry entry) {
+        Optional<SuspectKey> key = reader.quarantine(entry.value());
+        if (key.isEmpty()) {
+            Events.warn(LOG, "quarantine_unreadable", "name", entry.name(), "revision", entry.revision());
+        }
+        return key;
+    }
+}
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
@@ -14,12 +14,14 @@
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectReader;
 import org.pimentovale.gateway.port.PlatformStore;
+import org.pimentovale.gateway.suspect.SuspectTracker;
 import org.pimentovale.kernel.directory.EndpointRecord;
 import org.pimentovale.kernel.serving.ServingConfiguration;
 import org.pimentovale.log.Events;
 
 /**
- * Copies the content of the store into the tables: configuration, endpoints, withdrawn zones and gateways.
+ * Copies the content of the store into the tables: configuration, endpoints, withdrawn zones, gateways and
+ * quarantined keys.
  *
  * <p>Invariant: an object that cannot be decoded affects no entry but its own. Not thread safe; used on one event
  * loop.
@@ -32,6 +34,7 @@
     private static final int ENDPOINTS_WAIT_MS = 2_000;
     private static final int ZONES_WAIT_MS = 3_000;
     private static final int INSTANCES_WAIT_MS = 25_000;
+    private static final int QUARANTINES_WAIT_MS = 25_000;
     private static final int INSTANCES_BATCH_DELAY_MS = 1_000;
     // Every gateway reads every change, so the delay grows with the number of gateways to limit the load on the store.
     private static final int ENDPOINTS_BATCH_DELAY_MS_PER_GATEWAY = 5;
@@ -52,6 +55,7 @@
      * @param store the store
      * @param reader decodes stored objects
      * @param tables receives the decoded objects
+     * @param suspects receives the quarantined keys
      * @param random adds jitter to the backoff, so that gateways do not retry at the same time
      * @param endpointsChanged called after endpoints, zones or the configuration changed
      */
@@ -60,6 +64,7 @@
             PlatformStore store,
             ObjectReader reader,
             GatewayTables tables,
+            SuspectTracker suspects,
             RandomGenerator random,
             Runnable endpointsChanged) {
         this.vertx = vertx;
@@ -85,6 +90,12 @@
                 ObjectKind.INSTANCES,
                 new FeedTiming(INSTANCES_WAIT_MS, () -> INSTANCES_BATCH_DELAY_MS),
                 new InstanceListener());
+        addFeed(
+                store,
+                random,
+                ObjectKind.QUARANTINES,
+                new FeedTiming(QUARANTINES_WAIT_MS, () -> 0),
+                new QuarantineListener(reader, tables, suspects));
     }
 
     private void addFeed(
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
@@ -15,7 +16,8 @@
 import org.pimentovale.gateway.stage.StageProblem;
 import org.pimentovale.gateway.stage.StageRelease;
 import org.pimentovale.gateway.stage.StageResponse;
-import org.pimentovale.gateway.suspect.SuspectReport;
+import org.pimentovale.gateway.suspect.LossReport;
+import org.pimentovale.gateway.suspect.QuarantineNotice;
 import org.pimentovale.gateway.suspect.SuspectTracker;
 import org.pimentovale.json.Json;
 import org.pimentovale.kernel.batch.StageTicket;
@@ -69,8 +71,13 @@
                         .putHeader(PeerPaths.UPTIME_MS, Long.toString(tables.nowMs() - startedAtMs))
                         .end();
             case PeerPaths.STAGE_WORK -> http.body().onSuccess(body -> handleStageWork(http, body.getBytes()));
-            case PeerPaths.SUSPECT -> http.body().onSuccess(body -> handleSuspectReport(http, body.getBytes()));
-            case PeerPaths.STAGE_RELEASE -> http.body().onSuccess(body -> handleStageRelease(http, body.getBytes()));
+            case PeerPaths.SUSPECT ->
+                http.body().onSuccess(body -> handleMessage(http, body, LossReport.class, suspects::handleLoss));
+            case PeerPaths.QUARANTINE ->
+                http.body()
+                        .onSuccess(body -> handleMessage(http, body, QuarantineNotice.class, suspects::handleNotice));
+            case PeerPaths.STAGE_RELEASE ->
+                http.body().onSuccess(body -> handleMessage(http, body, StageRelease.class, this::release));
             default -> http.response().setStatusCode(404).end();
         }
     }
@@ -96,20 +103,13 @@
                 .onFailure(failure -> sendProblem(http, ServingException.of(failure)));
     }
 
-    private void handleStageRelease(HttpServerRequest http, byte[] body) {
-        try {
-            StageRelease release = Json.read(body, StageRelease.class);
-            dispatchers.dispatcher(release.service()).release(release.handles());
-            http.response().end();
-        } catch (ServingException malformed) {
-            Events.warn(LOG, "peer_message_unreadable", "failure", malformed.getMessage());
-            sendProblem(http, malformed);
-        }
+    private void release(StageRelease release) {
+        dispatchers.dispatcher(release.service()).release(release.handles());
     }
 
-    private void handleSuspectReport(HttpServerRequest http, byte[] body) {
+    private static <T> void handleMessage(HttpServerRequest http, Buffer body, Class<T> type, Consumer<T> handler) {
         try {
-            suspects.handleReport(Json.read(body, SuspectReport.class));
+            handler.accept(Json.read(body.getBytes(), type));
             http.response().end();
         } catch (ServingException malformed) {
             Events.warn(LOG, "peer_message_unreadable", "failure", malformed.getMessage());
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerPaths.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerPaths.java
@@ -6,8 +6,10 @@
     public static final String STAGE_WORK = "/stage-work";
     /** Releases results that are no longer needed. */
     public static final String STAGE_RELEASE = "/stage-release";
-    /** Reports a request whose endpoints were lost. */
+    /** Reports a lost endpoint with the requests that it had not begun to answer. */
     public static final String SUSPECT = "/suspect";
+    /** Announces that a suspect key is quarantined or released. */
+    public static final String QUARANTINE = "/quarantine";
     /** Liveness check; status 503 while the gateway is draining. */
     public static final String ALIVE = "/alive";
 
--- a/gateway/src/main/java/org/pimentovale/gateway/port/ObjectKind.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ObjectKind.java
@@ -9,5 +9,7 @@
     /** The availability zones that receive no new work, one object each. */
     WITHDRAWN_ZONES,
     /** The gateway instances, one object each; every instance writes its own. */
-    INSTANCES
+    INSTANCES,
+    /** The quarantined requests and prompt parts, one object each. */
+    QUARANTINES
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/port/ObjectReader.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ObjectReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Optional;
 import org.pimentovale.kernel.directory.EndpointRecord;
+import org.pimentovale.kernel.quarantine.SuspectKey;
 import org.pimentovale.kernel.serving.ServingConfiguration;
 
 /** Decodes the content of stored objects. Implementations are stateless and thread safe. */
@@ -41,4 +42,12 @@
      * @return the instance, empty if the object cannot be decoded
      */
     Optional<InstanceRecord> instance(String name, JsonNode value);
+
+    /**
+     * Decodes a quarantined key.
+     *
+     * @param value the object's content
+     * @return the key, empty if the object cannot be decoded
+     */
+    Optional<SuspectKey> quarantine(JsonNode value);
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/port/PlatformStore.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/PlatformStore.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import java.util.Optional;
+import org.pimentovale.kernel.quarantine.SuspectKey;
 
 /** Access to the platform's object store. Every call completes within a bounded time. Thread safe. */
 public interface PlatformStore {
@@ -40,4 +41,20 @@
      * @return completes when the object is removed
      */
     Future<Void> deregister(String name);
+
+    /**
+     * Stores the object of a quarantined key, if it does not exist.
+     *
+     * @param key the quarantined key
+     * @return completes when the object exists
+     */
+    Future<Void> storeQuarantine(SuspectKey key);
+
+    /**
+     * Removes the object of a key that is not quarantined any more.
+     *
+     * @param key the key
+     * @return completes when the object does not exist
+     */
+    Future<Void> removeQuarantine(SuspectKey key);
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/suspect/SuspectTracker.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/suspect/SuspectTracker.java
@@ -1,160 +1,244 @@
 package org.pimentovale.gateway.suspect;
 
-import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetClientOptions;
-import io.vertx.core.net.NetSocket;
-import java.util.LinkedHashMap;
-import java.util.Map;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.pimentovale.gateway.GatewayTables;
 import org.pimentovale.gateway.peer.PeerPaths;
 import org.pimentovale.gateway.port.InstanceRecord;
+import org.pimentovale.gateway.port.PlatformStore;
 import org.pimentovale.json.Json;
-import org.pimentovale.kernel.suspect.SuspectTable;
-import org.pimentovale.kernel.suspect.SuspectVerdict;
+import org.pimentovale.kernel.directory.EndpointRecord;
+import org.pimentovale.kernel.quarantine.LostRequest;
+import org.pimentovale.kernel.quarantine.QuarantineTable;
+import org.pimentovale.kernel.quarantine.SuspectKey;
 import org.pimentovale.log.Events;
 import org.pimentovale.store.http.HttpCall;
 import org.pimentovale.store.http.TimedHttpClient;
 
 /**
- * Detects requests that crash the endpoints running them, across the attempts at all gateways.
+ * Detects requests and prompt parts that crash the endpoints running them, together with all other gateways.
  *
- * <p>A lost connection counts as a lost endpoint if the endpoint then refuses a new connection. One gateway owns each
- * fingerprint: it counts the lost endpoints and notifies all other gateways when the threshold is reached, so a loss
- * costs one message instead of one per gateway. If an owner fails, its counts are lost and the next owner starts at
- * zero. Not thread safe; used on one event loop.
+ * <p>Every gateway reports the losses that it sees to all others, one message for each lost endpoint, and counts all
+ * reports, so that no count is lost with a gateway. A gateway that quarantines a key tells all others, and stores the
+ * key for gateways that start later. A gateway that knows an answer which refutes the decision tells all others, too.
+ * Not thread safe; used on one event loop.
  */
 public final class SuspectTracker {
     private static final Logger LOG = Logger.getLogger(SuspectTracker.class);
-    private static final int QUARANTINE_THRESHOLD_LOSSES = 3;
-    private static final int MAX_FINGERPRINTS = 10_000;
+    private static final int CAPACITY = 4_096;
     private static final int REPORT_TIMEOUT_MS = 500;
-    private static final int CONNECT_TIMEOUT_MS = 250;
+    private static final int RECONCILE_INTERVAL_MS = 5_000;
 
+    private final Vertx vertx;
     private final GatewayTables tables;
     private final TimedHttpClient peerClient;
-    private final NetClient probeClient;
-    private final SuspectTable suspects = new SuspectTable(MAX_FINGERPRINTS, QUARANTINE_THRESHOLD_LOSSES);
-    private final Map<String, Boolean> quarantined = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MAX_FINGERPRINTS;
-        }
-    };
+    private final PlatformStore store;
+    private final LossDetector lossDetector;
+    private final QuarantineTable table = new QuarantineTable(CAPACITY);
+    private final Set<SuspectKey> stored = new HashSet<>();
+    private long reconcileTimer = -1;
 
     /**
      * Creates a tracker without suspects.
      *
-     * @param vertx opens connections to check whether endpoints are reachable
+     * @param vertx runs timers and opens connections to check whether endpoints are reachable
      * @param tables provides the peers
      * @param peerClient sends reports to peers
+     * @param store stores the quarantined keys
      */
-    public SuspectTracker(Vertx vertx, GatewayTables tables, TimedHttpClient peerClient) {
+    public SuspectTracker(Vertx vertx, GatewayTables tables, TimedHttpClient peerClient, PlatformStore store) {
+        this.vertx = vertx;
         this.tables = tables;
         this.peerClient = peerClient;
-        this.probeClient = vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
+        this.store = store;
+        this.lossDetector = new LossDetector(vertx, this::reportLoss);
+    }
+
+    /** Starts to keep the stored keys equal to the quarantined ones. */
+    public void start() {
+        reconcileTimer = vertx.setPeriodic(RECONCILE_INTERVAL_MS, fired -> reconcile());
     }
 
     /**
-     * Returns whether any request is quarantined.
+     * Returns how long a request must not run because it, or a part of its prompt, is quarantined.
      *
-     * @return whether a request has to be checked with {@link #isQuarantined}; if false, its fingerprint is not needed
+     * @param sharedParts the identifiers of the shared parts of the request's prompt
+     * @param fingerprint computes the request's fingerprint, called only if any request is quarantined
+     * @return milliseconds, empty if the request may run
      */
-    public boolean hasQuarantined() {
-        return !quarantined.isEmpty();
+    public OptionalLong remainingQuarantineMs(Supplier<List<String>> sharedParts, Supplier<String> fingerprint) {
+        if (table.hasQuarantinedParts()) {
+            OptionalLong longest = sharedParts.get().stream()
+                    .map(part -> table.remainingMs(SuspectKey.promptPart(part), tables.nowMs()))
+                    .flatMapToLong(OptionalLong::stream)
+                    .max();
+            if (longest.isPresent()) {
+                return longest;
+            }
+        }
+        return table.hasQuarantinedRequests()
+                ? table.remainingMs(SuspectKey.request(fingerprint.get()), tables.nowMs())
+                : OptionalLong.empty();
     }
 
     /**
-     * Returns whether a request is quarantined and must not run again.
+     * Checks whether an endpoint is down after a connection to it was lost, and if so reports the loss to all gateways.
      *
-     * @param fingerprint the request's fingerprint, the same for all its attempts
-     * @return whether the request has crashed too many endpoints to run again
+     * @param endpoint the endpoint
+     * @param request the request that ran on the connection, and that the endpoint had not begun to answer
      */
-    public boolean isQuarantined(String fingerprint) {
-        return quarantined.containsKey(fingerprint);
+    public void recordConnectionLoss(EndpointRecord endpoint, LostRequest request) {
+        lossDetector.check(endpoint, request);
     }
 
     /**
-     * Checks whether an endpoint is down after a connection to it was lost, and if so reports the loss to the owner of
-     * the fingerprint.
+     * Records that an endpoint has begun and continued an answer.
      *
-     * @param fingerprint the fingerprint of the request that ran on the connection
-     * @param endpoint the endpoint's identifier
-     * @param address the endpoint's host and port
+     * @param sharedParts the identifiers of the shared parts of the request's prompt
      */
-    public void reportConnectionLoss(String fingerprint, String endpoint, String address) {
-        int colon = address.lastIndexOf(':');
-        probeClient
-                .connect(Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon))
-                .onSuccess(NetSocket::close)
-                .onFailure(failure -> {
-                    // A timeout may be caused by the network; only a refused connection shows that the endpoint is
-                    // down.
-                    if (!(failure instanceof ConnectTimeoutException)) {
-                        reportToOwner(new SuspectReport(fingerprint, Optional.of(endpoint)));
-                    }
-                });
-    }
-
-    private void reportToOwner(SuspectReport report) {
-        Optional<InstanceRecord> owner = tables.peers().owner(report.fingerprint());
-        if (owner.isEmpty()) {
-            handleReport(report);
-        } else {
-            sendReport(owner.get(), report);
+    public void recordAnswer(List<String> sharedParts) {
+        table.recordAnswer(sharedParts).forEach(key -> {
+            Events.warn(LOG, "quarantine_refuted", "key", key);
+            announceRelease(key);
+        });
+    }
+
+    private void reportLoss(LossReport report) {
+        sendToAll(PeerPaths.SUSPECT, report);
+        handleLoss(report);
+    }
+
+    /**
+     * Handles the report of a lost endpoint from this or another gateway.
+     *
+     * @param report the report
+     */
+    public void handleLoss(LossReport report) {
+        for (LostRequest request : report.requests()) {
+            Optional<SuspectKey> culprit = table.recordLoss(report.incarnation(), request, tables.nowMs());
+            Events.info(
+                    LOG,
+                    "endpoint_lost",
+                    "endpoint",
+                    report.incarnation(),
+                    "fingerprint",
+                    request.fingerprint(),
+                    "shared_parts",
+                    request.sharedParts(),
+                    "losses",
+                    request.sharedParts().stream()
+                            .map(part -> table.losses(SuspectKey.promptPart(part)))
+                            .toList(),
+                    "culprit",
+                    culprit.map(SuspectKey::toString).orElse("none"));
+            culprit.ifPresent(this::announceQuarantine);
         }
     }
 
     /**
-     * Handles a report from this or another gateway.
+     * Handles a decision of another gateway.
      *
-     * @param report a lost endpoint, or the quarantine of a request
+     * @param notice the decision
      */
-    public void handleReport(SuspectReport report) {
-        String fingerprint = report.fingerprint();
-        if (report.lostEndpoint().isEmpty()) {
-            quarantined.put(fingerprint, true);
-            Events.warn(LOG, "request_quarantined", "fingerprint", fingerprint);
-            return;
+    public void handleNotice(QuarantineNotice notice) {
+        SuspectKey key = notice.key();
+        if (!notice.quarantined()) {
+            boolean released = table.release(key);
+            Events.info(LOG, "quarantine_released", "key", key, "was_quarantined", released);
+        } else if (table.accept(key, tables.nowMs())) {
+            Events.warn(LOG, "request_quarantined", "key", key, "decided_by", "peer");
+        } else {
+            Events.warn(LOG, "quarantine_refuted", "key", key);
+            announceRelease(key);
         }
-        boolean newLoss = suspects.recordLoss(fingerprint, report.lostEndpoint().get());
-        SuspectVerdict verdict = suspects.verdict(fingerprint);
-        Events.info(
-                LOG,
-                "endpoint_lost",
-                "fingerprint",
-                fingerprint,
-                "endpoint",
-                report.lostEndpoint().get(),
-                "verdict",
-                verdict);
-        if (newLoss && verdict == SuspectVerdict.QUARANTINED) {
-            SuspectReport quarantineReport = new SuspectReport(fingerprint, Optional.empty());
-            handleReport(quarantineReport);
-            tables.peers().others().forEach(peer -> sendReport(peer, quarantineReport));
+    }
+
+    private void announceQuarantine(SuspectKey key) {
+        Events.warn(LOG, "request_quarantined", "key", key, "decided_by", "self");
+        sendToAll(PeerPaths.QUARANTINE, new QuarantineNotice(key, true));
+        writeToStore(key);
+    }
+
+    private void announceRelease(SuspectKey key) {
+        sendToAll(PeerPaths.QUARANTINE, new QuarantineNotice(key, false));
+        removeFromStore(key);
+    }
+
+    /**
+     * Replaces the stored keys by a complete list, and quarantines those that are not quarantined yet.
+     *
+     * @param keys all stored keys
+     */
+    public void storedKeysListed(List<SuspectKey> keys) {
+        stored.clear();
+        keys.forEach(this::storedKeyAdded);
+    }
+
+    /**
+     * Quarantines a key that another gateway stored.
+     *
+     * @param key the key
+     */
+    public void storedKeyAdded(SuspectKey key) {
+        stored.add(key);
+        if (table.remainingMs(key, tables.nowMs()).isEmpty()) {
+            handleNotice(new QuarantineNotice(key, true));
         }
     }
 
-    /** Closes the client that checks endpoints. */
-    public void close() {
-        probeClient.close();
+    /**
+     * Ends the quarantine of a key that another gateway removed from the store.
+     *
+     * @param key the key
+     */
+    public void storedKeyRemoved(SuspectKey key) {
+        stored.remove(key);
+        table.endQuarantine(key);
+    }
+
+    /** Stores the quarantined keys that this gateway owns and that are not stored, and removes those that ended. */
+    private void reconcile() {
+        table.endExpired(tables.nowMs()).stream().filter(this::owns).forEach(this::removeFromStore);
+        table.quarantined().stream()
+                .filter(key -> !stored.contains(key))
+                .filter(this::owns)
+                .forEach(this::writeToStore);
     }
 
-    private void sendReport(InstanceRecord peer, SuspectReport report) {
-        HttpCall call = new HttpCall(
-                peer.address(),
-                HttpMethod.POST,
-                PeerPaths.SUSPECT,
-                Optional.of(Buffer.buffer(Json.write(report))),
-                REPORT_TIMEOUT_MS);
+    private boolean owns(SuspectKey key) {
+        return tables.peers().owner(key.identifier()).isEmpty();
+    }
+
+    private void writeToStore(SuspectKey key) {
+        store.storeQuarantine(key)
+                .onSuccess(done -> stored.add(key))
+                .onFailure(failure ->
+                        Events.warn(LOG, "quarantine_not_stored", "key", key, "failure", failure.getMessage()));
+    }
+
+    private void removeFromStore(SuspectKey key) {
+        stored.remove(key);
+        store.removeQuarantine(key)
+                .onFailure(failure ->
+                        Events.warn(LOG, "quarantine_not_removed", "key", key, "failure", failure.getMessage()));
+    }
+
+    private void sendToAll(String path, Object message) {
+        Buffer body = Buffer.buffer(Json.write(message));
+        tables.peers().others().forEach(peer -> send(peer, path, body));
+    }
+
+    private void send(InstanceRecord peer, String path, Buffer body) {
+        HttpCall call = new HttpCall(peer.address(), HttpMethod.POST, path, Optional.of(body), REPORT_TIMEOUT_MS);
         peerClient
                 .call(call, MultiMap.caseInsensitiveMultiMap())
                 .onFailure(failure -> Events.info(
@@ -162,9 +246,15 @@
                         "suspect_report_failed",
                         "peer",
                         peer.name(),
-                        "fingerprint",
-                        report.fingerprint(),
+                        "path",
+                        path,
                         "failure",
                         failure.getMessage()));
     }
+
+    /** Stops the periodic task and closes the client that checks endpoints. */
+    public void close() {
+        vertx.cancelTimer(reconcileTimer);
+        lossDetector.close();
+    }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmupStore.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmupStore.java
@@ -17,6 +17,7 @@
 import org.pimentovale.gateway.port.ObjectReader;
 import org.pimentovale.gateway.port.PlatformStore;
 import org.pimentovale.kernel.directory.EndpointRecord;
+import org.pimentovale.kernel.quarantine.SuspectKey;
 import org.pimentovale.kernel.serving.ServingConfiguration;
 
 /**
@@ -44,7 +45,7 @@
                 switch (kind) {
                     case CONFIGURATION -> List.of(CONFIGURATION_NAME);
                     case ENDPOINTS -> List.copyOf(endpoints.keySet());
-                    case WITHDRAWN_ZONES -> List.of();
+                    case WITHDRAWN_ZONES, QUARANTINES -> List.of();
                     case INSTANCES -> List.copyOf(instances.keySet());
                 };
         return Future.succeededFuture(
@@ -78,6 +79,16 @@
         return Future.succeededFuture();
     }
 
+    @Override
+    public Future<Void> storeQuarantine(SuspectKey key) {
+        return Future.succeededFuture();
+    }
+
+    @Override
+    public Future<Void> removeQuarantine(SuspectKey key) {
+        return Future.succeededFuture();
+    }
+
     private ObjectEntry entry(String name) {
         return new ObjectEntry(name, revision, MissingNode.getInstance());
     }
@@ -97,6 +108,11 @@
         return Optional.ofNullable(endpoints.get(name));
     }
 
+    @Override
+    public Optional<SuspectKey> quarantine(JsonNode value) {
+        return Optional.empty();
+    }
+
     @Override
     public Optional<InstanceRecord> instance(String name, JsonNode value) {
         return Optional.ofNullable(instances.get(name));
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
@@ -23,6 +23,7 @@
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectPage;
 import org.pimentovale.gateway.port.PlatformStore;
+import org.pimentovale.kernel.quarantine.SuspectKey;
 
 class ObjectFeedTest {
     private static final int CHANGE_COUNT = 4;
@@ -38,8 +39,31 @@
         vertx.close();
     }
 
+    /** A store that accepts and ignores all writes. */
+    private abstract static class WriteAcceptingStore implements PlatformStore {
+        @Override
+        public Future<Void> register(InstanceRecord instance) {
+            return Future.succeededFuture();
+        }
+
+        @Override
+        public Future<Void> deregister(String name) {
+            return Future.succeededFuture();
+        }
+
+        @Override
+        public Future<Void> storeQuarantine(SuspectKey key) {
+            return Future.succeededFuture();
+        }
+
+        @Override
+        public Future<Void> removeQuarantine(SuspectKey key) {
+            return Future.succeededFuture();
+        }
+    }
+
     /** A store that responds to each of the first watch requests with a change, and to no later one. */
-    private static final class ChangingStore implements PlatformStore {
+    private static final class ChangingStore extends WriteAcceptingStore {
         private final List<Long> watchedAtNs = new ArrayList<>();
         private final CompletableFuture<Void> allChangesDelivered = new CompletableFuture<>();
 
@@ -59,20 +83,10 @@
             return Future.succeededFuture(
                     new ObjectChanges(List.of(new ObjectChanges.Change(entry, false)), revision + 1));
         }
-
-        @Override
-        public Future<Void> register(InstanceRecord instance) {
-            return Future.succeededFuture();
-        }
-
-        @Override
-        public Future<Void> deregister(String name) {
-            return Future.succeededFuture();
-        }
     }
 
     /** A store whose lists name a revision after which it has no history, so that every watch request fails. */
-    private static final class HistoryLosingStore implements PlatformStore {
+    private static final class HistoryLosingStore extends WriteAcceptingStore {
         private final List<Long> listedAtNs = new ArrayList<>();
         private final CompletableFuture<Void> listLimitReached = new CompletableFuture<>();
 
@@ -90,16 +104,6 @@
         public Future<ObjectChanges> watch(ObjectKind kind, long revision, int waitMs) {
             return Future.failedFuture(ServingException.notRun(ErrorCode.HISTORY_LOST, "behind " + revision));
         }
-
-        @Override
-        public Future<Void> register(InstanceRecord instance) {
-            return Future.succeededFuture();
-        }
-
-        @Override
-        public Future<Void> deregister(String name) {
-            return Future.succeededFuture();
-        }
     }
 
     private static final class CountingListener implements FeedListener {
--- /dev/null
+++ b/kernel/src/test/java/org/pimentovale/kernel/quarantine/QuarantineTableTest.java
@@ -0,0 +1,197 @@
+package org.pimentovale.kernel.quarantine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Verifies which requests and prompt parts are held responsible for lost endpoints. */
+class QuarantineTableTest {
+    private static final SuspectKey BAD = SuspectKey.promptPart("bad");
+    private static final SuspectKey COMMON = SuspectKey.promptPart("common");
+
+    private final QuarantineTable table = new QuarantineTable(100);
+    private int requests;
+
+    private Optional<SuspectKey> lose(String endpoint, String... parts) {
+        return table.recordLoss(endpoint, new LostRequest("request-" + ++requests, List.of(parts)), 0);
+    }
+
+    private boolean quarantined(SuspectKey key, long nowMs) {
+        return table.remainingMs(key, nowMs).isPresent();
+    }
+
+    private void quarantineBadPart() {
+        lose("a", "common", "bad");
+        lose("b", "common", "bad");
+        lose("c", "common", "bad");
+    }
+
+    @Nested
+    class APromptPart {
+        @Test
+        void isQuarantinedAfterThreeLostEndpointsInDifferentRequests() {
+            assertThat(lose("a", "common", "bad")).isEmpty();
+            assertThat(lose("b", "bad", "other")).isEmpty();
+            assertThat(lose("c", "another", "bad")).hasValue(BAD);
+            assertThat(table.hasQuarantinedParts()).isTrue();
+            assertThat(table.hasQuarantinedRequests()).isFalse();
+        }
+
+        @Test
+        void isNotQuarantinedByOneEndpointThatIsLostWithManyRequests() {
+            for (int request = 0; request < 10; request++) {
+                assertThat(lose("a", "common", "bad")).isEmpty();
+            }
+        }
+
+        @Test
+        void isTheOnlyOneQuarantinedAmongPartsThatAreAlwaysLostTogether() {
+            quarantineBadPart();
+
+            assertThat(quarantined(BAD, 0)).isTrue();
+            assertThat(quarantined(COMMON, 0)).isFalse();
+        }
+
+        @Test
+        void explainsFurtherLossesOfItsRequests() {
+            quarantineBadPart();
+
+            assertThat(lose("d", "common", "bad")).isEmpty();
+            assertThat(table.losses(COMMON)).isEqualTo(3);
+        }
+
+        @Test
+        void isQuarantinedAlthoughItIsTheFirstOfThePrompt() {
+            lose("a", "bad", "one");
+            lose("b", "bad", "two");
+
+            assertThat(lose("c", "bad", "three")).hasValue(BAD);
+        }
+
+        @Test
+        void countsAnEndpointThatRestartedAsAnotherOne() {
+            lose("a@1", "bad");
+            lose("a@2", "bad");
+
+            assertThat(lose("a@3", "bad")).hasValue(BAD);
+        }
+
+        @Test
+        void isReleasedWhenItsTimeIsOverAndQuarantinedAgainByOneLoss() {
+            quarantineBadPart();
+
+            assertThat(table.endExpired(QuarantineTable.QUARANTINE_MS)).containsExactly(BAD);
+            assertThat(quarantined(BAD, QuarantineTable.QUARANTINE_MS)).isFalse();
+            assertThat(table.recordLoss("d", new LostRequest("late", List.of("bad")), QuarantineTable.QUARANTINE_MS))
+                    .hasValue(BAD);
+        }
+    }
+
+    @Nested
+    class AnAnswer {
+        @Test
+        void discardsTheLossesOfThePartsOfItsPrompt() {
+            lose("a", "common");
+            lose("b", "common");
+            table.recordAnswer(List.of("common"));
+
+            assertThat(lose("c", "common")).isEmpty();
+        }
+
+        @Test
+        void makesTheThresholdOfItsPartsHigher() {
+            table.recordAnswer(List.of("common"));
+            for (String endpoint : List.of("a", "b", "c", "d")) {
+                assertThat(lose(endpoint, "common")).isEmpty();
+            }
+
+            assertThat(lose("e", "common")).hasValue(COMMON);
+        }
+
+        @Test
+        void shiftsTheBlameToAPartWithoutAnswers() {
+            table.recordAnswer(List.of("later"));
+            lose("a", "bad", "later");
+            lose("b", "bad", "later");
+
+            assertThat(lose("c", "bad", "later")).hasValue(BAD);
+        }
+
+        @Test
+        void releasesAQuarantinedPart() {
+            quarantineBadPart();
+
+            assertThat(table.recordAnswer(List.of("common", "bad"))).containsExactly(BAD);
+            assertThat(table.hasQuarantinedParts()).isFalse();
+        }
+    }
+
+    @Nested
+    class ADecisionOfAnotherInstance {
+        @Test
+        void isAcceptedWithoutOwnLosses() {
+            assertThat(table.accept(BAD, 0)).isTrue();
+            assertThat(quarantined(BAD, 0)).isTrue();
+        }
+
+        @Test
+        void isRefutedByAnAnswerSinceTheLosses() {
+            lose("a", "common");
+            table.recordAnswer(List.of("common"));
+
+            assertThat(table.accept(COMMON, 0)).isFalse();
+            assertThat(quarantined(COMMON, 0)).isFalse();
+        }
+
+        @Test
+        void isAcceptedIfTheAnswersAreOlderThanTheLosses() {
+            table.recordAnswer(List.of("common"));
+            lose("a", "common");
+            lose("b", "common");
+            lose("c", "common");
+
+            assertThat(table.accept(COMMON, 0)).isTrue();
+        }
+    }
+
+    @Nested
+    class ARequest {
+        @Test
+        void isQuarantinedBeforeItsPromptParts() {
+            LostRequest same = new LostRequest("same", List.of("part"));
+            table.recordLoss("a", same, 0);
+            table.recordLoss("b", same, 0);
+
+            assertThat(table.recordLoss("c", same, 0)).hasValue(SuspectKey.request("same"));
+            assertThat(table.hasQuarantinedRequests()).isTrue();
+            assertThat(table.hasQuarantinedParts()).isFalse();
+        }
+    }
+
+    @Nested
+    class Memory {
+        @Test
+        void isBoundedAndEvictsQuarantinedKeysLast() {
+            lose("a", "old");
+            quarantineBadPart();
+            for (int request = 0; request < 200; request++) {
+                lose("z" + request, "part-" + request);
+            }
+
+            assertThat(table.losses(SuspectKey.promptPart("old"))).isEqualTo(0);
+            assertThat(quarantined(BAD, 0)).isTrue();
+        }
+
+        @Test
+        void isBoundedIfAllKeysAreQuarantined() {
+            for (int key = 0; key < 200; key++) {
+                table.accept(SuspectKey.promptPart("part-" + key), 0);
+            }
+
+            assertThat(table.quarantined()).hasSize(100);
+        }
+    }
+}
