--- a/kernel/src/main/java/org/pimentovale/kernel/quarantine/LostRequest.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/quarantine/LostRequest.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * A request that an endpoint had not begun to answer when the endpoint was lost.
+ * A request whose answer an endpoint had not continued beyond its beginning when the endpoint was lost.
  *
  * @param fingerprint identifies the request across all its attempts
  * @param sharedParts the identifiers of the prompt parts that other requests may share, in the order of the prompt
--- a/kernel/src/main/java/org/pimentovale/kernel/quarantine/QuarantineTable.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/quarantine/QuarantineTable.java
@@ -144,20 +144,20 @@
         Suspect suspect = suspects.remove(key);
         boolean wasQuarantined = suspect != null && suspect.quarantined();
         if (wasQuarantined) {
-            setQuarantined(key, suspect, -1);
+            setQuarantined(key, suspect, Suspect.NOT_QUARANTINED);
         }
         return wasQuarantined;
     }
 
     /**
-     * Ends the quarantine of a key. The losses counted against it remain, so that one further loss quarantines it again.
+     * Ends the quarantine of a key. The losses counted against it remain, so one further loss quarantines it again.
      *
      * @param key the key
      */
     public void endQuarantine(SuspectKey key) {
         Suspect suspect = suspects.get(key);
         if (suspect != null) {
-            setQuarantined(key, suspect, -1);
+            setQuarantined(key, suspect, Suspect.NOT_QUARANTINED);
         }
     }
 
@@ -169,7 +169,7 @@
      */
     public List<SuspectKey> endExpired(long nowMs) {
         List<SuspectKey> expired = quarantined().stream()
-                .filter(key -> nowMs >= suspects.get(key).quarantinedUntilMs)
+                .filter(key -> nowMs >= suspects.get(key).quarantinedUntilMs())
                 .toList();
         expired.forEach(this::endQuarantine);
         return expired;
@@ -214,7 +214,7 @@
      */
     public OptionalLong remainingMs(SuspectKey key, long nowMs) {
         return isQuarantined(key, nowMs)
-                ? OptionalLong.of(suspects.get(key).quarantinedUntilMs - nowMs)
+                ? OptionalLong.of(suspects.get(key).quarantinedUntilMs() - nowMs)
                 : OptionalLong.empty();
     }
 
@@ -230,12 +230,12 @@
 
     private boolean isQuarantined(SuspectKey key, long nowMs) {
         Suspect suspect = suspects.get(key);
-        return suspect != null && suspect.quarantined() && nowMs < suspect.quarantinedUntilMs;
+        return suspect != null && suspect.quarantined() && nowMs < suspect.quarantinedUntilMs();
     }
 
     private void setQuarantined(SuspectKey key, Suspect suspect, long untilMs) {
-        int change = Boolean.compare(untilMs >= 0, suspect.quarantined());
-        suspect.quarantinedUntilMs = untilMs;
+        int change = Boolean.compare(untilMs != Suspect.NOT_QUARANTINED, suspect.quarantined());
+        suspect.setQuarantinedUntilMs(untilMs);
         if (key.kind() == SuspectKey.Kind.REQUEST) {
             quarantinedRequests += change;
         } else {
--- a/kernel/src/main/java/org/pimentovale/kernel/quarantine/Suspect.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/quarantine/Suspect.java
@@ -8,16 +8,25 @@
  * safe.
  */
 final class Suspect {
-    private static final int MAX_LOSSES = 8;
+    static final long NOT_QUARANTINED = -1;
 
-    /** The end of the quarantine in milliseconds, negative if the key is not quarantined. */
-    long quarantinedUntilMs = -1;
+    private static final int MAX_LOSSES = 8;
 
     private final Set<String> lostIncarnations = new LinkedHashSet<>();
     private long latestLossMs;
+    private long quarantinedUntilMs = NOT_QUARANTINED;
 
     boolean quarantined() {
-        return quarantinedUntilMs >= 0;
+        return quarantinedUntilMs != NOT_QUARANTINED;
+    }
+
+    /** Returns the end of the quarantine in milliseconds, or {@link #NOT_QUARANTINED}. */
+    long quarantinedUntilMs() {
+        return quarantinedUntilMs;
+    }
+
+    void setQuarantinedUntilMs(long untilMs) {
+        quarantinedUntilMs = untilMs;
     }
 
     int losses() {
