A stream that ends inside an event is broken off, also without length and chunks

Callers saw: a stream whose connection ended inside an event, or before any event, looked complete, because the gateway took every end of the body for the end of the stream. Cause: nothing in the relay knew where events end. Change: EventStreamParser (kernel) finds the ends of events; ResponseRelay, taken out of RequestExecution, closes the caller's connection where a stream ends inside an event, and reports 502 where one without framing ends without any event. A request counts as lost with its endpoint until two events have come, not only until the first bytes have.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
@@ -1,8 +1,6 @@
 package org.pimentovale.gateway.caller;
 
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -62,6 +60,7 @@
         private final EndpointClient.PendingRequest pendingRequest;
         private final long sentMs = tables.nowMs();
         private boolean open = true;
+        private boolean answerContinued;
         private long responseTimer = -1;
 
         private EndpointCall(EndpointState endpoint, EndpointClient.PendingRequest pendingRequest) {
@@ -249,18 +248,18 @@
         }
     }
 
-    /** Reports a lost connection, since the request may have crashed the endpoint unless its answer had begun. */
+    /** Reports a lost connection, since the request may have crashed the endpoint unless it continued its answer. */
     private void reportSuspect(EndpointCall call, ServingException failure) {
         if (failure.code() == ErrorCode.CONNECTION_LOST || failure.code() == ErrorCode.STREAM_TRUNCATED) {
             log(
                     "request_lost",
                     "endpoint",
                     call.endpoint.latest().identifier(),
-                    "answer_begun",
-                    callerResponse.started(),
+                    "answer_continued",
+                    call.answerContinued,
                     "shared_parts",
                     request.attempt().sharedParts());
-            if (!callerResponse.started()) {
+            if (!call.answerContinued) {
                 services.suspects().recordConnectionLoss(call.endpoint.latest(), request.lostRequest());
             }
         }
@@ -290,10 +289,10 @@
             callFailed(call, ServingException.unknown(ErrorCode.ANSWER_MISMATCHED, "status " + head.status()));
         } else if (head.status() >= 500 && mayTryAnotherEndpoint()) {
             callFailed(call, ServingException.unknown(ErrorCode.ENDPOINT_FAILED, "status " + head.status()));
-        } else if (request.routed().route().kind() == RequestKind.STREAMING && head.status() < 300) {
-            new StreamRelay(call, response).start();
         } else {
-            relayBuffered(call, response);
+            boolean stream = request.routed().route().kind() == RequestKind.STREAMING && head.status() < 300;
+            RelayedCall relayedCall = new RelayedCall(call, head.status(), stream);
+            new ResponseRelay(response, callerResponse, services.endpointCodec(), stream, relayedCall).start();
         }
     }
 
@@ -324,25 +323,6 @@
         }
     }
 
-    private void relayBuffered(EndpointCall call, HttpClientResponse response) {
-        Buffer body = Buffer.buffer();
-        response.handler(body::appendBuffer);
-        response.exceptionHandler(failure -> callFailed(
-                call, ServingException.unknown(ErrorCode.CONNECTION_LOST, String.valueOf(failure.getMessage()))));
-        response.endHandler(done -> {
-            if (ended || !call.open) {
-                return;
-            }
-            callerResponse.sendComplete(
-                    response.statusCode(),
-                    response.statusMessage(),
-                    services.endpointCodec().responseHeaders(response.headers()),
-                    body);
-            succeeded(call, response.statusCode());
-        });
-        response.resume();
-    }
-
     private void succeeded(EndpointCall call, int status) {
         if (status < 500) {
             call.endpoint.recordSuccess();
@@ -353,73 +333,58 @@
         end("answered", status);
     }
 
-    /** Relays a streamed response to the caller, with back-pressure. */
-    private final class StreamRelay {
+    /** Accounts for the response of one attempt while it is relayed to the caller. */
+    private final class RelayedCall implements ResponseRelay.Listener {
         private final EndpointCall call;
-        private final HttpClientResponse response;
-        private Optional<HttpServerResponse> callerStream = Optional.empty();
-        private boolean continued;
+        private final int status;
+        private final boolean stream;
 
-        private StreamRelay(EndpointCall call, HttpClientResponse response) {
+        private RelayedCall(EndpointCall call, int status, boolean stream) {
             this.call = call;
-            this.response = response;
+            this.status = status;
+            this.stream = stream;
         }
 
-        private void start() {
-            response.handler(this::forward);
-            response.exceptionHandler(failure -> handleStreamFailure(String.valueOf(failure.getMessage())));
-            response.endHandler(done -> finish());
-            response.resume();
+        @Override
+        public boolean active() {
+            return !ended && call.open;
         }
 
-        private HttpServerResponse begin() {
-            if (callerStream.isEmpty()) {
-                callerStream = Optional.of(callerResponse.startChunked(
-                        response.statusCode(),
-                        response.statusMessage(),
-                        services.endpointCodec().responseHeaders(response.headers())));
+        @Override
+        public void begun() {
+            stagePhase.ifPresent(StagePhase::end);
+            if (stream) {
                 long waitedMs = tables.nowMs() - call.sentMs;
-                tables.firstEventEstimates().record(request.routed().route().name(), (double) waitedMs);
-                services.metrics().recordFirstEvent(request.routed().route().name(), waitedMs);
+                String route = request.routed().route().name();
+                tables.firstEventEstimates().record(route, (double) waitedMs);
+                services.metrics().recordFirstEvent(route, waitedMs);
                 log("stream_begun", "endpoint", call.endpoint.latest().identifier(), "waited_ms", waitedMs);
-                stagePhase.ifPresent(StagePhase::end);
             }
-            return callerStream.get();
         }
 
-        private void forward(Buffer part) {
-            if (ended || !call.open) {
-                return;
-            }
-            if (callerStream.isPresent() && !continued) {
-                continued = true;
-                services.suspects().recordAnswer(request.attempt().sharedParts());
-            }
-            HttpServerResponse target = begin();
-            target.write(part);
-            if (target.writeQueueFull()) {
-                response.pause();
-                target.drainHandler(drained -> response.resume());
-            }
+        @Override
+        public void continued() {
+            call.answerContinued = true;
+            services.suspects().recordAnswer(request.attempt().sharedParts());
         }
 
-        private void finish() {
-            if (!ended && call.open) {
-                begin().end();
-                succeeded(call, response.statusCode());
-            }
+        @Override
+        public void completed() {
+            succeeded(call, status);
         }
 
-        private void handleStreamFailure(String reason) {
-            ServingException failure = ServingException.unknown(ErrorCode.STREAM_TRUNCATED, reason);
-            if (callerStream.isEmpty()) {
+        @Override
+        public void broken(String reason) {
+            ServingException failure =
+                    ServingException.unknown(stream ? ErrorCode.STREAM_TRUNCATED : ErrorCode.CONNECTION_LOST, reason);
+            if (!callerResponse.started()) {
                 callFailed(call, failure);
-            } else if (!ended && call.open) {
-                call.endpoint.recordFailure(tables.nowMs());
-                reportSuspect(call, failure);
-                callerResponse.abort();
-                end(failure.getMessage(), 0);
+                return;
             }
+            call.endpoint.recordFailure(tables.nowMs());
+            reportSuspect(call, failure);
+            callerResponse.abort();
+            end(failure.getMessage(), 0);
         }
     }
 
--- /dev/null
+++ b/kernel/src/test/java/org/pimentovale/kernel/stream/EventStreamParserTest.java
@@ -0,0 +1,67 @@
+package org.pimentovale.kernel.stream;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Verifies where events end. */
+class EventStreamParserTest {
+    private static EventStreamParser parse(String... parts) {
+        EventStreamParser parser = new EventStreamParser();
+        for (String part : parts) {
+            parser.accept(part.getBytes(StandardCharsets.UTF_8));
+        }
+        return parser;
+    }
+
+    @Nested
+    class AnEvent {
+        @Test
+        void endsWithAnEmptyLineForEachKindOfLineEnd() {
+            for (String lineEnd : new String[] {"\n", "\r", "\r\n"}) {
+                EventStreamParser parser = parse("id: 1" + lineEnd + "data: a" + lineEnd + lineEnd);
+
+                assertThat(parser.insideEvent()).isFalse();
+                assertThat(parser.completeEvents()).isEqualTo(1);
+            }
+        }
+
+        @Test
+        void mayArriveInParts() {
+            assertThat(parse("id: 1\r", "\nda", "ta: a\r", "\n\r", "\n").completeEvents())
+                    .isEqualTo(1);
+        }
+
+        @Test
+        void isOpenBeforeItsEmptyLine() {
+            assertThat(parse("id: 1\ndata: a\n\nid: 2\ndata").insideEvent()).isTrue();
+            assertThat(parse("id: 1\ndata: a\n").insideEvent()).isTrue();
+        }
+    }
+
+    @Nested
+    class Comments {
+        @Test
+        void belongToNoEvent() {
+            EventStreamParser parser = parse(": keep-alive\n\n: keep");
+
+            assertThat(parser.insideEvent()).isFalse();
+            assertThat(parser.completeEvents()).isEqualTo(0);
+        }
+
+        @Test
+        void doNotEndAnEvent() {
+            assertThat(parse("id: 1\n: comment\n").insideEvent()).isTrue();
+        }
+    }
+
+    @Nested
+    class AStreamWithoutEventEnds {
+        @Test
+        void isMeasuredSinceTheLastEvent() {
+            assertThat(parse("id: 1\n\n", "x".repeat(500)).openEventBytes()).isEqualTo(500);
+        }
+    }
+}
--- a/standin/src/main/java/org/pimentovale/standin/fleet/EndpointBehaviour.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/EndpointBehaviour.java
@@ -100,6 +100,36 @@
             socket.write(streamHead(attempt) + chunk("id: 1\ndata: one\n\n")).onComplete(written -> socket.close());
         }
     },
+    /** Streams two events without a content length or chunks, and closes the connection. */
+    STREAM_WITHOUT_FRAMING {
+        @Override
+        void respond(NetSocket socket, String attempt) {
+            socket.write(unframedStreamHead(attempt) + "id: 1\ndata: one\n\nid: 2\ndata: two\n\n")
+                    .onComplete(written -> socket.close());
+        }
+    },
+    /** Streams without framing, and closes the connection inside the second event. */
+    STREAM_WITHOUT_FRAMING_ENDING_INSIDE_EVENT {
+        @Override
+        void respond(NetSocket socket, String attempt) {
+            socket.write(unframedStreamHead(attempt) + "id: 1\ndata: one\n\nid: 2\nda")
+                    .onComplete(written -> socket.close());
+        }
+    },
+    /** Sends the head of a stream without framing, and closes the connection. */
+    STREAM_WITHOUT_FRAMING_OR_EVENTS {
+        @Override
+        void respond(NetSocket socket, String attempt) {
+            socket.write(unframedStreamHead(attempt)).onComplete(written -> socket.close());
+        }
+    },
+    /** Streams in chunks that end properly, but inside the second event. */
+    STREAM_ENDING_INSIDE_EVENT {
+        @Override
+        void respond(NetSocket socket, String attempt) {
+            socket.write(streamHead(attempt) + chunk("id: 1\ndata: one\n\nid: 2\ndata: tw") + "0\r\n\r\n");
+        }
+    },
     /** Streams one event, then sends nothing more and keeps the connection open. */
     STALL_STREAM {
         @Override
@@ -131,6 +161,11 @@
                 + "Transfer-Encoding: chunked\r\n\r\n";
     }
 
+    private static String unframedStreamHead(String attempt) {
+        return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt
+                + "\r\nX-Server-Stamp: stamp-1\r\nContent-Type: text/event-stream\r\n\r\n";
+    }
+
     private static String chunk(String data) {
         return Integer.toHexString(data.length()) + "\r\n" + data + "\r\n";
     }
