Bound the memory and time that responses without end cost

A body without end was collected in memory until the request's deadline (for a caller that does not read: more than 32 MB in 2 s), an event without end was relayed until the deadline, interim responses without end kept the event loop busy, and calls of stages, peers and the store collected bodies of any length. Change: a relay holds 256 KiB back and passes the rest on with back-pressure; an event may be 1 MiB; 16 interim responses; other calls fail beyond 8 MiB.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
@@ -17,6 +17,8 @@
  * relayed as complete. Not thread safe; used on one event loop.
  */
 final class ResponseRelay {
+    private static final int MAX_HELD_BYTES = 256 * 1_024;
+    private static final int MAX_EVENT_BYTES = 1_024 * 1_024;
     private static final int EVENTS_OF_CONTINUED_ANSWER = 2;
 
     private final HttpClientResponse response;
@@ -85,8 +87,12 @@
             return;
         }
         events.ifPresent(parser -> parser.accept(part.getBytes()));
+        if (events.filter(parser -> parser.openEventBytes() > MAX_EVENT_BYTES).isPresent()) {
+            breakOff("an event exceeds " + MAX_EVENT_BYTES + " bytes");
+            return;
+        }
         reportContinued();
-        if (target.isEmpty() && events.isEmpty()) {
+        if (target.isEmpty() && events.isEmpty() && held.length() + part.length() <= MAX_HELD_BYTES) {
             held.appendBuffer(part);
             return;
         }
--- a/gateway/src/main/java/org/pimentovale/gateway/endpoint/EndpointClient.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/endpoint/EndpointClient.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
 
@@ -21,6 +22,8 @@
  * cancelled. Thread safe.
  */
 public final class EndpointClient {
+    private static final int MAX_INTERIM_RESPONSES = 16;
+
     private final HttpClient client;
 
     /** A request in progress. Not thread safe; used on one event loop. */
@@ -80,6 +83,18 @@
         return pending;
     }
 
+    /** Ends a request whose endpoint sends interim responses without end. */
+    private static void limitInterimResponses(HttpClientRequest request, PendingRequest pending) {
+        AtomicInteger received = new AtomicInteger();
+        request.continueHandler(interim -> {
+            if (received.incrementAndGet() > MAX_INTERIM_RESPONSES) {
+                pending.head.tryFail(ServingException.unknown(
+                        ErrorCode.ANSWER_MISMATCHED, "more than " + MAX_INTERIM_RESPONSES + " interim responses"));
+                request.reset();
+            }
+        });
+    }
+
     private static void write(HttpClientRequest request, Optional<Buffer> body, PendingRequest pending) {
         if (pending.head.future().isComplete()) {
             request.reset();
@@ -94,6 +109,7 @@
                 request.reset();
             }
         });
+        limitInterimResponses(request, pending);
         if (body.isPresent()) {
             request.end(body.get());
         } else {
--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
@@ -21,6 +21,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Stand-in for an engine or a service endpoint that can send faulty and malformed responses.
@@ -34,6 +35,8 @@
     private final boolean resetsOnClose;
     private final Deque<EndpointBehaviour> scriptedBehaviours = new ArrayDeque<>();
     private final List<ReceivedRequest> receivedRequests = new ArrayList<>();
+    private final AtomicLong endlessBytes = new AtomicLong();
+    private Optional<EndlessResponse> endlessResponse = Optional.empty();
     private final Set<NetSocket> connections = ConcurrentHashMap.newKeySet();
     private final CompletableFuture<Void> firstDisconnect = new CompletableFuture<>();
     private EndpointBehaviour defaultBehaviour = EndpointBehaviour.RESPOND;
@@ -50,6 +53,8 @@
      */
     public record ReceivedRequest(String requestLine, Map<String, String> headers, String body) {}
 
+    private record EndlessResponse(String prefix, String repeated) {}
+
     /**
      * Creates an endpoint stand-in.
      *
@@ -114,6 +119,25 @@
         crashPromptPart = Optional.of(part);
     }
 
+    /**
+     * Makes the endpoint respond to each request with bytes that do not end until the connection is closed.
+     *
+     * @param prefix sent once, with {@code %s} in the place of the attempt's identifier
+     * @param repeated sent again and again after the prefix
+     */
+    public synchronized void respondEndlessly(String prefix, String repeated) {
+        endlessResponse = Optional.of(new EndlessResponse(prefix, repeated));
+    }
+
+    /**
+     * Returns how much of endless responses has been accepted by the connections so far.
+     *
+     * @return the number of bytes
+     */
+    public long endlessBytes() {
+        return endlessBytes.get();
+    }
+
     /**
      * Returns the requests received so far.
      *
@@ -195,6 +219,10 @@
                     + "\r\nX-Server-Stamp: stamp-1\r\nContent-Type: text/event-stream\r\n"
                     + "Transfer-Encoding: chunked\r\n\r\n");
             crash();
+        } else if (endlessResponse.isPresent()) {
+            EndlessResponse endless = endlessResponse.get();
+            socket.write(endless.prefix().replace("%s", request.headers().getOrDefault("x-attempt-id", "")))
+                    .onSuccess(written -> writeEndlessly(socket, Buffer.buffer(endless.repeated())));
         } else if (request.requestLine().startsWith("POST /stage-run") && scriptedBehaviours.isEmpty()) {
             runPieces(request, socket);
         } else if (request.requestLine().startsWith("POST /stage-free")) {
@@ -211,6 +239,13 @@
                 .anyMatch(entry -> entry.startsWith(part + ":"));
     }
 
+    private void writeEndlessly(NetSocket socket, Buffer repeated) {
+        socket.write(repeated).onSuccess(written -> {
+            endlessBytes.addAndGet(repeated.length());
+            writeEndlessly(socket, repeated);
+        });
+    }
+
     private void crash() {
         server.close().onComplete(closed -> List.copyOf(connections).forEach(NetSocket::close));
     }
--- a/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
+++ b/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
@@ -4,8 +4,10 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
@@ -15,9 +17,12 @@
  *
  * <p>A call for which no connection could be opened fails with the outcome "not run", any other with "unknown".
  *
- * <p>Invariant: the connection of a timed-out or cancelled call is closed and never reused. Thread safe.
+ * <p>Invariants: a response body is held in memory up to a limit, beyond which its call fails; the connection of a
+ * timed-out or cancelled call is closed and never reused. Thread safe.
  */
 public final class TimedHttpClient {
+    private static final int MAX_BODY_BYTES = 8 * 1_024 * 1_024;
+
     private final Vertx vertx;
     private final HttpClient client;
     private final ErrorCode failureCode;
@@ -82,8 +87,7 @@
         (httpCall.body().isEmpty()
                         ? request.send()
                         : request.send(httpCall.body().get()))
-                .compose(response ->
-                        response.body().map(body -> new HttpResponse(response.statusCode(), response.headers(), body)))
+                .compose(this::readBody)
                 .onComplete(result -> {
                     if (result.succeeded()) {
                         promise.tryComplete(result.result());
@@ -93,6 +97,22 @@
                 });
     }
 
+    private Future<HttpResponse> readBody(HttpClientResponse response) {
+        Promise<HttpResponse> complete = Promise.promise();
+        Buffer body = Buffer.buffer();
+        response.handler(part -> {
+            if (body.length() + part.length() <= MAX_BODY_BYTES) {
+                body.appendBuffer(part);
+            } else {
+                complete.tryFail(ServingException.unknown(failureCode, "body exceeds " + MAX_BODY_BYTES + " bytes"));
+            }
+        });
+        response.exceptionHandler(complete::tryFail);
+        response.endHandler(
+                ended -> complete.tryComplete(new HttpResponse(response.statusCode(), response.headers(), body)));
+        return complete.future();
+    }
+
     private ServingException toServingException(Throwable cause) {
         return cause instanceof ServingException failure
                 ? failure
