--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
@@ -282,6 +282,7 @@
         }
         services.vertx().cancelTimer(call.responseTimer);
         ResponseHead head = services.endpointCodec().readResponseHead(response.statusCode(), response.headers());
+        recordRequestLimit(call, head);
         head.pendingCalls().ifPresent(calls -> call.endpoint.recordLoad(calls, tables.nowMs()));
         if (head.notRun()) {
             handleRefusal(call, head);
@@ -296,6 +297,17 @@
         }
     }
 
+    private void recordRequestLimit(EndpointCall call, ResponseHead head) {
+        if (call.endpoint.recordRequestLimit(head.requestsPerSecond())) {
+            log(
+                    "endpoint_limit_changed",
+                    "endpoint",
+                    call.endpoint.latest().identifier(),
+                    "requests_per_second",
+                    head.requestsPerSecond());
+        }
+    }
+
     private boolean matchesRequest(ResponseHead head) {
         boolean sameAttempt = head.attemptId()
                 .map(identifier -> identifier.equals(request.attempt().identifier()))
--- a/gateway/src/main/java/org/pimentovale/gateway/port/ResponseHead.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.pimentovale.gateway.port;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 
 /**
@@ -11,6 +12,12 @@
  * @param attemptId the attempt to which the response belongs, empty if the endpoint does not name it
  * @param signed whether the response carries the endpoint's signature
  * @param pendingCalls number of calls that are running or queued at the endpoint, empty if not reported
+ * @param requestsPerSecond the rate of requests that the endpoint takes from all gateways together, empty if unlimited
  */
 public record ResponseHead(
-        int status, boolean notRun, Optional<String> attemptId, boolean signed, OptionalInt pendingCalls) {}
+        int status,
+        boolean notRun,
+        Optional<String> attemptId,
+        boolean signed,
+        OptionalInt pendingCalls,
+        OptionalDouble requestsPerSecond) {}
--- a/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointState.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointState.java
@@ -1,5 +1,7 @@
 package org.pimentovale.kernel.directory;
 
+import java.util.OptionalDouble;
+
 /**
  * The state of one endpoint as observed by this instance: load, failures, latency and warm-up.
  *
@@ -21,6 +23,7 @@
     private long loadReportedAtMs = Long.MIN_VALUE;
     private double latencyRatio = 1;
     private long latencyRatioAtMs;
+    private OptionalDouble requestsPerSecond = OptionalDouble.empty();
 
     EndpointState(EndpointRecord first, long nowMs) {
         this.latest = first;
@@ -32,6 +35,7 @@
             backoffUntilMs = 0;
             nextBackoffMs = INITIAL_BACKOFF_MS;
             latencyRatio = 1;
+            requestsPerSecond = OptionalDouble.empty();
         }
         latest = next;
         expiredSinceMs = -1;
@@ -134,6 +138,27 @@
         return runningCalls + (reportValid ? otherInstancesCalls : 0);
     }
 
+    /**
+     * Records the rate limit that the endpoint named with its latest response.
+     *
+     * @param limit requests per second over all instances, empty if it named none
+     * @return whether the limit changed
+     */
+    public boolean recordRequestLimit(OptionalDouble limit) {
+        boolean changed = !requestsPerSecond.equals(limit);
+        requestsPerSecond = limit;
+        return changed;
+    }
+
+    /**
+     * Returns the rate limit that the endpoint named with its latest response.
+     *
+     * @return requests per second over all instances, empty if it has named none since its start
+     */
+    public OptionalDouble requestsPerSecond() {
+        return requestsPerSecond;
+    }
+
     /**
      * Records the latency of a call.
      *
