Failing test: an endpoint gets 200 requests in 4 s where its limit allows 17

Three gateways, one endpoint stand-in that names 2 requests a second in each response; 50 requests a second in all.

--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
@@ -35,6 +35,7 @@
     private final boolean resetsOnClose;
     private final Deque<EndpointBehaviour> scriptedBehaviours = new ArrayDeque<>();
     private final List<ReceivedRequest> receivedRequests = new ArrayList<>();
+    private String requestLimit = "";
     private final AtomicLong endlessBytes = new AtomicLong();
     private Optional<EndlessResponse> endlessResponse = Optional.empty();
     private final Set<NetSocket> connections = ConcurrentHashMap.newKeySet();
@@ -138,6 +139,20 @@
         return endlessBytes.get();
     }
 
+    /**
+     * Makes the endpoint name a rate limit in its responses; it does not enforce the limit.
+     *
+     * @param requestsPerSecond the limit over all callers
+     */
+    public synchronized void setRequestLimit(double requestsPerSecond) {
+        requestLimit = "Server-Limit: " + requestsPerSecond + "\r\n";
+    }
+
+    /** Makes the endpoint name no rate limit any more. */
+    public synchronized void clearRequestLimit() {
+        requestLimit = "";
+    }
+
     /**
      * Returns the requests received so far.
      *
@@ -229,10 +244,16 @@
             socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         } else {
             EndpointBehaviour next = scriptedBehaviours.isEmpty() ? defaultBehaviour : scriptedBehaviours.pollFirst();
-            next.respond(socket, request.headers().get("x-attempt-id"));
+            // The behaviours write the attempt's identifier as a whole header line, after which further ones may
+            // follow.
+            next.respond(socket, request.headers().get("x-attempt-id") + requestLimitLine());
         }
     }
 
+    private String requestLimitLine() {
+        return requestLimit.isEmpty() ? "" : "\r\n" + requestLimit.strip();
+    }
+
     private static boolean hasPromptPart(ReceivedRequest request, String part) {
         return Arrays.stream(
                         request.headers().getOrDefault("x-prompt-prefix", "").split(",", -1))
