Endpoints lost at the same time count once against a prompt part

A zone that fails takes many endpoints with it; requests to all of them share their first part, and five losses without an answer between them would have quarantined a whole route. Requests as a whole count as before. The number of quarantined keys is a metric.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -143,6 +143,10 @@
                 "pimentovale_gateway_stage_tickets",
                 "Stages that wait or run here as an owner.",
                 stageDispatchers::openTickets);
+        metrics.registerGauge(
+                "pimentovale_gateway_quarantined_keys",
+                "Requests and prompt parts that are not run because endpoints were lost while they ran them.",
+                suspects::quarantinedCount);
         this.peerListener =
                 new PeerListener(tables, stageDispatchers, suspects, permits, state::draining, clock.nowMs());
     }
--- a/gateway/src/main/java/org/pimentovale/gateway/suspect/SuspectTracker.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/suspect/SuspectTracker.java
@@ -112,6 +112,15 @@
         });
     }
 
+    /**
+     * Returns the number of quarantined keys.
+     *
+     * @return the number of requests and prompt parts
+     */
+    public int quarantinedCount() {
+        return table.quarantined().size();
+    }
+
     private void reportLoss(LossReport report) {
         sendToAll(PeerPaths.SUSPECT, report);
         handleLoss(report);
--- a/kernel/src/main/java/org/pimentovale/kernel/quarantine/QuarantineTable.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/quarantine/QuarantineTable.java
@@ -18,8 +18,9 @@
  * contains a quarantined key is explained by that key and counts against no other. At most one key is quarantined for
  * a lost request: one without a known answer before one with an answer, the most specific one first.
  *
- * <p>Invariants: each incarnation of an endpoint counts at most once against a key; no more keys or parts than the
- * capacity are kept, and quarantined keys are evicted last. Not thread safe; used on one event loop.
+ * <p>Endpoints that are lost at the same time have another cause in common, and count once against a part. Invariants:
+ * each incarnation of an endpoint counts at most once against a key; no more keys or parts than the capacity are kept,
+ * and quarantined keys are evicted last. Not thread safe; used on one event loop.
  */
 public final class QuarantineTable {
     /** How long a key stays quarantined, in milliseconds; a single further loss quarantines it again. */
@@ -28,6 +29,12 @@
     /** How long losses count against a key after the latest one, in milliseconds. */
     private static final long LOSS_VALID_MS = 600_000;
 
+    /**
+     * Endpoints that are lost within this time, in milliseconds, count once against a prompt part: the failure of a
+     * zone or a rack takes many endpoints with it, and requests to all of them share parts.
+     */
+    private static final long COMMON_CAUSE_MS = 250;
+
     private static final int LOSSES_WITHOUT_KNOWN_ANSWER = 3;
     /** More losses are required of a part with known answers, since a busy part may be interrupted by many crashes. */
     private static final int LOSSES_AFTER_KNOWN_ANSWER = 5;
@@ -64,7 +71,7 @@
         for (SuspectKey key : keys) {
             Suspect suspect = findOrAdd(key);
             suspect.discardLossesBefore(nowMs - LOSS_VALID_MS);
-            suspect.recordLoss(incarnation, nowMs);
+            suspect.recordLoss(incarnation, nowMs, minimumDistanceMs(key));
         }
         Optional<SuspectKey> culprit = keys.stream()
                 .filter(this::hasReachedThreshold)
@@ -73,6 +80,10 @@
         return culprit;
     }
 
+    private static long minimumDistanceMs(SuspectKey key) {
+        return key.kind() == SuspectKey.Kind.PROMPT_PART ? COMMON_CAUSE_MS : 0;
+    }
+
     private Suspect findOrAdd(SuspectKey key) {
         if (!suspects.containsKey(key) && suspects.size() >= capacity) {
             evictOne();
--- a/kernel/src/main/java/org/pimentovale/kernel/quarantine/Suspect.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/quarantine/Suspect.java
@@ -1,18 +1,19 @@
 package org.pimentovale.kernel.quarantine;
 
-import java.util.LinkedHashSet;
+import java.util.HashSet;
 import java.util.Set;
 
 /**
- * The losses counted against a key, and its quarantine. Invariant: the number of stored losses is bounded. Not thread
- * safe.
+ * The losses counted against a key, and its quarantine. Invariant: the number of stored incarnations is bounded. Not
+ * thread safe.
  */
 final class Suspect {
     static final long NOT_QUARANTINED = -1;
 
-    private static final int MAX_LOSSES = 8;
+    private static final int MAX_INCARNATIONS = 64;
 
-    private final Set<String> lostIncarnations = new LinkedHashSet<>();
+    private final Set<String> lostIncarnations = new HashSet<>();
+    private int losses;
     private long latestLossMs;
     private long quarantinedUntilMs = NOT_QUARANTINED;
 
@@ -30,26 +31,29 @@
     }
 
     int losses() {
-        return lostIncarnations.size();
+        return losses;
     }
 
-    void recordLoss(String incarnation, long nowMs) {
-        latestLossMs = nowMs;
-        if (lostIncarnations.size() < MAX_LOSSES) {
-            lostIncarnations.add(incarnation);
+    /** Counts the loss of an incarnation that is not counted yet, unless it follows the latest loss too closely. */
+    void recordLoss(String incarnation, long nowMs, long minimumDistanceMs) {
+        if (lostIncarnations.size() >= MAX_INCARNATIONS || !lostIncarnations.add(incarnation)) {
+            return;
+        }
+        if (losses == 0 || nowMs - latestLossMs >= minimumDistanceMs) {
+            losses++;
+            latestLossMs = nowMs;
         }
     }
 
     /** Sets the number of losses to at least the given one, as another instance has counted them. */
     void assumeLosses(int minimum, long nowMs) {
+        losses = Math.max(losses, minimum);
         latestLossMs = nowMs;
-        for (int position = 0; lostIncarnations.size() < minimum; position++) {
-            lostIncarnations.add("reported-" + position);
-        }
     }
 
     void discardLossesBefore(long timeMs) {
         if (latestLossMs < timeMs) {
+            losses = 0;
             lostIncarnations.clear();
         }
     }
