--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -13,6 +13,7 @@
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectPage;
 import org.pimentovale.gateway.port.PlatformStore;
+import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.log.Events;
 
 /**
@@ -34,7 +35,7 @@
     private final FeedTiming timing;
     private final FeedListener listener;
     private final RandomGenerator random;
-    private long revision = -1;
+    private StoreRevision revision = StoreRevision.NONE;
     private boolean storeUnavailable;
     private int backoffMs = INITIAL_BACKOFF_MS;
     private boolean lastFailureWasHistoryLoss;
@@ -88,14 +89,37 @@
             list(listed);
             return;
         }
-        if (page.revision() < revision) {
+        if (page.revision().revision() < revision.revision()) {
+            Events.warn(
+                    LOG,
+                    "list_refused",
+                    "kind",
+                    kind,
+                    "era",
+                    page.revision().era(),
+                    "revision",
+                    page.revision().revision(),
+                    "known_era",
+                    revision.era(),
+                    "known_revision",
+                    revision.revision());
             handleFailure(ServingException.notRun(
                     ErrorCode.STORE_UNAVAILABLE, "the list is older than the last known revision"));
             return;
         }
         markStoreAvailable();
         revision = page.revision();
-        Events.info(LOG, "objects_listed", "kind", kind, "revision", revision, "objects", listed.size());
+        Events.info(
+                LOG,
+                "objects_listed",
+                "kind",
+                kind,
+                "era",
+                revision.era(),
+                "revision",
+                revision.revision(),
+                "objects",
+                listed.size());
         listener.listed(listed);
         watch();
     }
@@ -104,7 +128,7 @@
         if (stopped) {
             return;
         }
-        store.watch(kind, revision, timing.maxWaitMs())
+        store.watch(kind, revision.revision(), timing.maxWaitMs())
                 .onSuccess(this::handleChanges)
                 .onFailure(this::handleFailure);
     }
@@ -120,7 +144,7 @@
                 listener.changed(change.entry());
             }
         }
-        revision = Math.max(revision, changes.revision());
+        revision = revision.revision() < changes.revision().revision() ? changes.revision() : revision;
         int batchDelayMs = timing.batchDelayMs().getAsInt();
         if (changes.changes().isEmpty() || batchDelayMs == 0) {
             watch();
@@ -132,7 +156,7 @@
     private void markStoreAvailable() {
         if (storeUnavailable) {
             storeUnavailable = false;
-            Events.info(LOG, "store_available", "kind", kind, "revision", revision);
+            Events.info(LOG, "store_available", "kind", kind, "era", revision.era(), "revision", revision.revision());
             listener.storeAvailable();
         }
     }
@@ -141,10 +165,20 @@
         ServingException failure = ServingException.of(cause);
         boolean historyLost = failure.code() == ErrorCode.HISTORY_LOST;
         if (historyLost) {
-            Events.warn(LOG, "history_lost", "kind", kind, "revision", revision);
+            Events.warn(LOG, "history_lost", "kind", kind, "era", revision.era(), "revision", revision.revision());
         } else if (!storeUnavailable) {
             storeUnavailable = true;
-            Events.warn(LOG, "store_unavailable", "kind", kind, "revision", revision, "failure", failure.getMessage());
+            Events.warn(
+                    LOG,
+                    "store_unavailable",
+                    "kind",
+                    kind,
+                    "era",
+                    revision.era(),
+                    "revision",
+                    revision.revision(),
+                    "failure",
+                    failure.getMessage());
         }
         if (stopped) {
             return;
@@ -154,7 +188,7 @@
         int delayMs = historyLost && !lastFailureWasHistoryLoss ? 1 : backoffMs / 2 + random.nextInt(backoffMs);
         lastFailureWasHistoryLoss = historyLost;
         backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
-        boolean relist = historyLost || revision < 0;
+        boolean relist = historyLost || revision.equals(StoreRevision.NONE);
         vertx.setTimer(delayMs, fired -> {
             if (relist) {
                 list(new ArrayList<>());
--- a/gateway/src/main/java/org/pimentovale/gateway/port/ObjectChanges.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ObjectChanges.java
@@ -1,6 +1,7 @@
 package org.pimentovale.gateway.port;
 
 import java.util.List;
+import org.pimentovale.kernel.history.StoreRevision;
 
 /**
  * Changes to the objects of a kind.
@@ -8,7 +9,7 @@
  * @param changes the changes, in the order of their revisions
  * @param revision the store revision up to which the changes are complete
  */
-public record ObjectChanges(List<Change> changes, long revision) {
+public record ObjectChanges(List<Change> changes, StoreRevision revision) {
     /** Copies the list. */
     public ObjectChanges {
         changes = List.copyOf(changes);
--- a/gateway/src/main/java/org/pimentovale/gateway/port/ObjectPage.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ObjectPage.java
@@ -1,6 +1,7 @@
 package org.pimentovale.gateway.port;
 
 import java.util.List;
+import org.pimentovale.kernel.history.StoreRevision;
 
 /**
  * A page of the list of a kind's objects.
@@ -9,7 +10,7 @@
  * @param hasMore whether the list continues after the last entry
  * @param revision the store revision of the response
  */
-public record ObjectPage(List<ObjectEntry> entries, boolean hasMore, long revision) {
+public record ObjectPage(List<ObjectEntry> entries, boolean hasMore, StoreRevision revision) {
     /** Copies the list. */
     public ObjectPage {
         entries = List.copyOf(entries);
--- a/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmupStore.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmupStore.java
@@ -17,6 +17,7 @@
 import org.pimentovale.gateway.port.ObjectReader;
 import org.pimentovale.gateway.port.PlatformStore;
 import org.pimentovale.kernel.directory.EndpointRecord;
+import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.quarantine.SuspectKey;
 import org.pimentovale.kernel.serving.ServingConfiguration;
 
@@ -49,7 +50,7 @@
                     case INSTANCES -> List.copyOf(instances.keySet());
                 };
         return Future.succeededFuture(
-                new ObjectPage(names.stream().map(this::entry).toList(), false, revision));
+                new ObjectPage(names.stream().map(this::entry).toList(), false, new StoreRevision(0, revision)));
     }
 
     @Override
@@ -65,8 +66,8 @@
     public Future<Void> register(InstanceRecord instance) {
         revision++;
         instances.put(instance.name(), instance);
-        ObjectChanges change =
-                new ObjectChanges(List.of(new ObjectChanges.Change(entry(instance.name()), false)), revision);
+        ObjectChanges change = new ObjectChanges(
+                List.of(new ObjectChanges.Change(entry(instance.name()), false)), new StoreRevision(0, revision));
         List<Promise<ObjectChanges>> watches = List.copyOf(instanceWatches);
         instanceWatches.clear();
         watches.forEach(watch -> watch.complete(change));
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
@@ -23,6 +23,7 @@
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectPage;
 import org.pimentovale.gateway.port.PlatformStore;
+import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.quarantine.SuspectKey;
 
 class ObjectFeedTest {
@@ -69,7 +70,7 @@
 
         @Override
         public Future<ObjectPage> list(ObjectKind kind, Optional<String> after) {
-            return Future.succeededFuture(new ObjectPage(List.of(), false, 1));
+            return Future.succeededFuture(new ObjectPage(List.of(), false, new StoreRevision(0, 1)));
         }
 
         @Override
@@ -80,8 +81,8 @@
                 return Promise.<ObjectChanges>promise().future();
             }
             ObjectEntry entry = new ObjectEntry("name", revision + 1, MissingNode.getInstance());
-            return Future.succeededFuture(
-                    new ObjectChanges(List.of(new ObjectChanges.Change(entry, false)), revision + 1));
+            return Future.succeededFuture(new ObjectChanges(
+                    List.of(new ObjectChanges.Change(entry, false)), new StoreRevision(0, revision + 1)));
         }
     }
 
@@ -97,7 +98,7 @@
                 listLimitReached.complete(null);
                 return Promise.<ObjectPage>promise().future();
             }
-            return Future.succeededFuture(new ObjectPage(List.of(), false, 1));
+            return Future.succeededFuture(new ObjectPage(List.of(), false, new StoreRevision(0, 1)));
         }
 
         @Override
