--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
@@ -17,11 +17,12 @@
 /**
  * Stand-in for the platform's store: named objects by kind, one revision for the whole store, lists and watches.
  *
- * <p>Invariant: the revision increases with each change. Thread safe; it takes no other lock while it holds its own.
+ * <p>Invariant: within an era the revision increases with each change. Thread safe; it takes no other lock while it holds its own.
  */
 public final class FleetStoreStandIn {
     private static final int PAGE_SIZE = 50;
     private static final int STATUS_UNAVAILABLE = 503;
+    private static final String ERA_HEADER = "Store-Era";
 
     private final Vertx vertx;
     private final Map<String, TreeMap<String, JsonObject>> kinds = new TreeMap<>();
@@ -31,11 +32,21 @@
     private long historyStartRevision = 1;
     private boolean unavailable;
     private boolean unresponsive;
+    private long era = 1;
+    private int lists;
 
     private record Change(long revision, String kind, JsonObject object, boolean deleted) {}
 
     private record PendingWatch(HttpServerRequest request, String kind, long sinceRevision) {}
 
+    /**
+     * A copy of the store's content.
+     *
+     * @param kinds the objects by kind and name
+     * @param revision the store's revision when the copy was made
+     */
+    public record Backup(Map<String, TreeMap<String, JsonObject>> kinds, long revision) {}
+
     /**
      * Creates an empty store.
      *
@@ -104,6 +115,10 @@
      */
     public synchronized void setUnavailable(boolean rejectsCalls) {
         unavailable = rejectsCalls;
+        closePendingWatches();
+    }
+
+    private void closePendingWatches() {
         pendingWatches.forEach(watch -> watch.request().connection().close());
         pendingWatches.clear();
     }
@@ -125,6 +140,42 @@
         revision++;
     }
 
+    /**
+     * Copies the store's content.
+     *
+     * @return the copy, from which {@link #restore} restores the store
+     */
+    public synchronized Backup backup() {
+        Map<String, TreeMap<String, JsonObject>> copy = new TreeMap<>();
+        kinds.forEach((kind, objects) -> copy.put(kind, new TreeMap<>(objects)));
+        return new Backup(copy, revision);
+    }
+
+    /**
+     * Replaces the store's content by an older copy. All writes since then are lost, and their revisions are given out
+     * again; the era rises by one. Connections of pending watches are closed.
+     *
+     * @param backup the copy
+     */
+    public synchronized void restore(Backup backup) {
+        kinds.clear();
+        backup.kinds().forEach((kind, objects) -> kinds.put(kind, new TreeMap<>(objects)));
+        history.removeIf(change -> change.revision() > backup.revision());
+        revision = backup.revision();
+        era++;
+        lists = 0;
+        closePendingWatches();
+    }
+
+    /**
+     * Returns the number of lists that the store has answered since it was last restored.
+     *
+     * @return the number, over all kinds
+     */
+    public synchronized int listCount() {
+        return lists;
+    }
+
     /**
      * Returns the names of the objects of a kind.
      *
@@ -154,6 +205,7 @@
         if (unresponsive) {
             return;
         }
+        request.response().putHeader(ERA_HEADER, Long.toString(era));
         if (unavailable) {
             request.response().setStatusCode(STATUS_UNAVAILABLE).end();
             return;
@@ -190,7 +242,7 @@
             return;
         }
         PendingWatch watch = new PendingWatch(request, kind, Long.parseLong(sinceRevision));
-        if (watch.sinceRevision() < historyStartRevision - 1) {
+        if (watch.sinceRevision() < historyStartRevision - 1 || watch.sinceRevision() > revision) {
             request.response().setStatusCode(410).end();
         } else if (!completeWatchIfChanged(watch)) {
             pendingWatches.add(watch);
@@ -199,6 +251,7 @@
     }
 
     private void list(HttpServerRequest request, String kind, String after) {
+        lists++;
         JsonArray items = new JsonArray();
         Map<String, JsonObject> remaining = objects(kind).tailMap(after, after.isEmpty());
         remaining.values().stream().limit(PAGE_SIZE).forEach(items::add);
