--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.pimentovale.gateway.caller.GatewayState;
 import org.pimentovale.gateway.caller.RequestServices;
 import org.pimentovale.gateway.endpoint.EndpointClient;
+import org.pimentovale.gateway.feed.InstanceRegistration;
 import org.pimentovale.gateway.feed.StoreSynchronizer;
 import org.pimentovale.gateway.limit.RequestPermits;
 import org.pimentovale.gateway.metric.GatewayMetrics;
@@ -58,7 +59,6 @@
     private static final int KEEP_ALIVE_TIMEOUT_SECONDS = 20;
     private static final int MAX_HEADER_BYTES = 64 * 1_024;
     private static final int ACCEPT_BACKLOG = 1_024;
-    private static final int REGISTER_RETRY_DELAY_MS = 700;
     private static final int DRAIN_CHECK_INTERVAL_MS = 50;
     private static final int LOAD_BALANCER_REACTION_MS = 2_600;
     private static final int REFUSAL_MARGIN_MS = 2_000;
@@ -72,11 +72,11 @@
     private final GatewayState state = new GatewayState();
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final ServingPlatform platform;
-    private final PlatformStore store;
     private final InstanceRecord self;
     private final StageDispatchers stageDispatchers;
     private final StageClient stageClient;
     private final SuspectTracker suspects;
+    private final InstanceRegistration registration;
     private final StoreSynchronizer synchronizer;
     private final PeerMonitor monitor;
     private final CallerListener callerListener;
@@ -85,7 +85,7 @@
     private final List<HttpServer> servers = new ArrayList<>();
     private int callerPort;
     private int readinessPort;
-    private InstanceRecord registeredRecord;
+    private String peerAddress;
 
     /**
      * Creates a gateway; {@link #start} opens its listeners.
@@ -107,7 +107,7 @@
         this.platform = platform;
         this.self = new InstanceRecord(settings.name(), settings.peerAddress(), settings.zone());
         this.tables = new GatewayTables(clock, new PeerTable(self), settings.retry());
-        this.store = platform.openStore(
+        PlatformStore store = platform.openStore(
                 newTimedClient(true, MAX_STORE_CONNECTIONS, ErrorCode.STORE_UNAVAILABLE), settings.storeAddress());
         TimedHttpClient endpointCalls = newTimedClient(false, MAX_CONNECTIONS_PER_HOST, ErrorCode.CONNECTION_LOST);
         TimedHttpClient releaseCalls =
@@ -122,8 +122,9 @@
         this.monitor = new PeerMonitor(vertx, tables, peerCalls, this::servicesWithOwner, stageClient::resubmitFrom);
         EndpointClient endpointClient = new EndpointClient(newClient(false, MAX_CONNECTIONS_PER_HOST));
         this.suspects = new SuspectTracker(vertx, tables, peerCalls, store);
+        this.registration = new InstanceRegistration(vertx, store, state::draining);
         this.synchronizer = new StoreSynchronizer(
-                vertx, store, platform.objectReader(), tables, suspects, random, this::tablesChanged);
+                vertx, store, platform.objectReader(), tables, suspects, random, this::tablesChanged, registration);
         RequestServices services = new RequestServices(
                 vertx,
                 endpointClient,
@@ -204,8 +205,7 @@
                     return listen(settings.peerAddress(), peerListener::handle);
                 })
                 .compose(port -> {
-                    registeredRecord =
-                            new InstanceRecord(self.name(), hostOf(settings.peerAddress()) + ":" + port, self.zone());
+                    peerAddress = hostOf(settings.peerAddress()) + ":" + port;
                     return listen(settings.callerAddress(), callerListener::handle);
                 })
                 .onSuccess(port -> {
@@ -213,7 +213,7 @@
                     synchronizer.start();
                     monitor.start();
                     suspects.start();
-                    register();
+                    registration.register(new InstanceRecord(self.name(), peerAddress, self.zone()));
                     Events.info(LOG, "gateway_started", "name", settings.name(), "zone", settings.zone());
                 })
                 .mapEmpty();
@@ -294,16 +294,6 @@
         http.response().setStatusCode(ready ? 200 : STATUS_UNAVAILABLE).end();
     }
 
-    private void register() {
-        if (state.draining()) {
-            return;
-        }
-        store.register(registeredRecord).onFailure(failure -> {
-            Events.warn(LOG, "register_failed", "failure", failure.getMessage());
-            vertx.setTimer(REGISTER_RETRY_DELAY_MS, fired -> register());
-        });
-    }
-
     /**
      * Shuts down gracefully. The gateway reports not ready, serves the requests that arrive until the load balancer
      * notices, and waits for the running ones. Shortly before the shutdown time is over it refuses the requests that no
@@ -320,8 +310,7 @@
             long startedMs = tables.nowMs();
             Events.info(
                     LOG, "drain_started", "running", state.runningCount(), "tickets", stageDispatchers.openTickets());
-            store.deregister(self.name())
-                    .onFailure(failure -> Events.warn(LOG, "deregister_failed", "failure", failure.getMessage()));
+            registration.deregister();
             vertx.setPeriodic(DRAIN_CHECK_INTERVAL_MS, timer -> checkDrained(timer, startedMs, drained));
         });
         return drained.future();
--- a/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
@@ -10,6 +10,7 @@
 import org.pimentovale.gateway.settings.GatewaySettings.RetryBudgetSettings;
 import org.pimentovale.kernel.directory.EndpointDirectory;
 import org.pimentovale.kernel.endpoint.ColdEndpointRateLimiter;
+import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.placement.DurationEstimates;
 import org.pimentovale.kernel.retry.WindowedRetryBudget;
 import org.pimentovale.kernel.serving.ServingConfiguration;
@@ -19,7 +20,7 @@
  * The in-memory state of a gateway: the active configuration, endpoints, peers, and this gateway's share of the limits
  * that all gateways keep together.
  *
- * <p>Invariant: the configuration's revision never decreases. Not thread safe; used on one event loop, so no table
+ * <p>Invariant: the configuration's revision never decreases within an era of the store. Not thread safe; used on one event loop, so no table
  * needs a lock.
  */
 public final class GatewayTables {
@@ -33,7 +34,7 @@
     private final RetryBudgetSettings retryBudgetSettings;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
-    private long configurationRevision = -1;
+    private StoreRevision configurationRevision = StoreRevision.NONE;
     private final Set<ObjectKind> listedKinds = EnumSet.noneOf(ObjectKind.class);
 
     /**
@@ -60,14 +61,15 @@
     }
 
     /**
-     * Activates a configuration if its revision is higher than that of the active one.
+     * Activates a configuration if its revision is higher than that of the active one, or belongs to a later era of the
+     * store.
      *
      * @param next the configuration
      * @param revision the store's revision of the configuration
      * @return whether the configuration was activated
      */
-    public boolean applyIfNewer(ServingConfiguration next, long revision) {
-        if (revision <= configurationRevision) {
+    public boolean applyIfNewer(ServingConfiguration next, StoreRevision revision) {
+        if (!configurationRevision.precedes(revision)) {
             return false;
         }
         configurationRevision = revision;
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/FeedListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/FeedListener.java
@@ -1,16 +1,18 @@
 package org.pimentovale.gateway.feed;
 
 import java.util.List;
+import java.util.Set;
 import org.pimentovale.gateway.port.ObjectEntry;
 
 /** Receives the objects of a feed's kind and their changes. Called on the feed's event loop. */
 public interface FeedListener {
     /**
-     * Receives a complete list, which replaces all objects received before.
+     * Receives a complete list, which replaces all objects received before, except the retained ones.
      *
-     * @param entries all objects of the kind
+     * @param entries the objects whose listed state is in force
+     * @param retained the names of further objects, whose state received before stays in force
      */
-    void listed(List<ObjectEntry> entries);
+    void listed(List<ObjectEntry> entries, Set<String> retained);
 
     /**
      * Receives an object that was created or changed.
@@ -26,6 +28,16 @@
      */
     void removed(ObjectEntry entry);
 
-    /** Called when the store responds again after a failure, before the content of that response is delivered. */
+    /**
+     * Receives an object that stays removed, although the store lists it again after it was restored from a backup.
+     *
+     * @param entry the listed state of the object
+     */
+    default void reappeared(ObjectEntry entry) {}
+
+    /**
+     * Called when the store responds again after a failure, or was restored, before the content of that response is
+     * delivered.
+     */
     default void storeAvailable() {}
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -1,9 +1,10 @@
 package org.pimentovale.gateway.feed;
 
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.pimentovale.error.ErrorCode;
@@ -13,7 +14,11 @@
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectPage;
 import org.pimentovale.gateway.port.PlatformStore;
+import org.pimentovale.kernel.history.ListVerdict;
+import org.pimentovale.kernel.history.ObjectHistory;
+import org.pimentovale.kernel.history.ObjectWrite;
 import org.pimentovale.kernel.history.StoreRevision;
+import org.pimentovale.kernel.time.MonotonicClock;
 import org.pimentovale.log.Events;
 
 /**
@@ -21,8 +26,10 @@
  * the changes.
  *
  * <p>A watch request that ends without a response indicates a dead connection or an unavailable store; the next request
- * uses a new connection and continues after the last revision. Invariant: the listener never receives a revision older
- * than one it has received. Not thread safe; used on one event loop.
+ * uses a new connection and continues after the last revision. When the store was restored from a backup, its kind is
+ * listed, and listed again once the writers had time to write again. Invariant: within an era, the listener never receives
+ * a revision older than one it has received; of an earlier era it receives nothing. Not thread safe; used on one event
+ * loop.
  */
 public final class ObjectFeed {
     private static final Logger LOG = Logger.getLogger(ObjectFeed.class);
@@ -35,7 +42,10 @@
     private final FeedTiming timing;
     private final FeedListener listener;
     private final RandomGenerator random;
-    private StoreRevision revision = StoreRevision.NONE;
+    private final MonotonicClock clock;
+    private final LongConsumer eraListener;
+    private final ObjectHistory history;
+    private long round;
     private boolean storeUnavailable;
     private int backoffMs = INITIAL_BACKOFF_MS;
     private boolean lastFailureWasHistoryLoss;
@@ -50,6 +60,8 @@
      * @param timing the timing of the requests to the store
      * @param listener receives the objects and their changes
      * @param random adds jitter to the backoff, so that gateways do not retry at the same time
+     * @param clock the source of monotonic time
+     * @param eraListener receives the store's era with each list
      */
     public ObjectFeed(
             Vertx vertx,
@@ -57,18 +69,35 @@
             ObjectKind kind,
             FeedTiming timing,
             FeedListener listener,
-            RandomGenerator random) {
+            RandomGenerator random,
+            MonotonicClock clock,
+            LongConsumer eraListener) {
         this.vertx = vertx;
         this.store = store;
         this.kind = kind;
         this.timing = timing;
         this.listener = listener;
         this.random = random;
+        this.clock = clock;
+        this.eraListener = eraListener;
+        this.history = new ObjectHistory(timing.retentionMs());
     }
 
     /** Starts with a list request. */
     public void start() {
-        list(new ArrayList<>());
+        listAnew();
+    }
+
+    /**
+     * Lists the kind anew if the store was restored since the last response, without waiting for the next one.
+     *
+     * @param era the store's era, as another feed learned it
+     */
+    void noteEra(long era) {
+        boolean listed = !history.revision().equals(StoreRevision.NONE);
+        if (listed && history.revision().era() < era && !stopped) {
+            listAnew();
+        }
     }
 
     /** Stops the feed when the current request has completed. */
@@ -76,87 +105,192 @@
         stopped = true;
     }
 
-    private void list(List<ObjectEntry> listed) {
-        Optional<String> after = listed.isEmpty()
-                ? Optional.empty()
-                : Optional.of(listed.get(listed.size() - 1).name());
-        store.list(kind, after).onSuccess(page -> handlePage(listed, page)).onFailure(this::handleFailure);
+    /** Starts a list from its first page; responses and timers of earlier requests are ignored from now on. */
+    private void listAnew() {
+        round++;
+        list(new PartialList());
+    }
+
+    private void list(PartialList listed) {
+        store.list(kind, listed.lastName())
+                .onSuccess(inRound(page -> handlePage(listed, page)))
+                .onFailure(inRound(this::handleFailure));
+    }
+
+    private <T> Handler<T> inRound(Handler<T> handler) {
+        long current = round;
+        return value -> {
+            if (current == round) {
+                handler.handle(value);
+            }
+        };
     }
 
-    private void handlePage(List<ObjectEntry> listed, ObjectPage page) {
-        listed.addAll(page.entries());
-        if (page.hasMore() && !page.entries().isEmpty()) {
+    private void handlePage(PartialList listed, ObjectPage page) {
+        if (!listed.add(page)) {
+            handleFailure(historyLost("the store was restored between two pages of a list"));
+        } else if (page.hasMore() && !page.entries().isEmpty()) {
             list(listed);
-            return;
-        }
-        if (page.revision().revision() < revision.revision()) {
-            Events.warn(
-                    LOG,
-                    "list_refused",
-                    "kind",
-                    kind,
-                    "era",
-                    page.revision().era(),
-                    "revision",
-                    page.revision().revision(),
-                    "known_era",
-                    revision.era(),
-                    "known_revision",
-                    revision.revision());
-            handleFailure(ServingException.notRun(
-                    ErrorCode.STORE_UNAVAILABLE, "the list is older than the last known revision"));
-            return;
+        } else if (listed.revision().precedes(history.revision())) {
+            refuse(listed);
+        } else {
+            accept(listed);
+            watch();
         }
+    }
+
+    private void refuse(PartialList listed) {
+        Events.warn(
+                LOG,
+                "list_refused",
+                "kind",
+                kind,
+                "era",
+                listed.revision().era(),
+                "revision",
+                listed.revision().revision(),
+                "known_era",
+                history.revision().era(),
+                "known_revision",
+                history.revision().revision());
+        handleFailure(outdated("the list is older than the last known revision"));
+    }
+
+    private void accept(PartialList listed) {
+        noteRestore(listed.revision());
         markStoreAvailable();
-        revision = page.revision();
+        List<ObjectWrite> writes =
+                listed.entries().stream().map(ObjectEntry::write).toList();
+        ListVerdict verdict = history.acceptList(listed.revision(), writes, clock.nowMs());
         Events.info(
                 LOG,
                 "objects_listed",
                 "kind",
                 kind,
                 "era",
-                revision.era(),
+                listed.revision().era(),
                 "revision",
-                revision.revision(),
+                listed.revision().revision(),
                 "objects",
-                listed.size());
-        listener.listed(listed);
-        watch();
+                writes.size(),
+                "retained",
+                verdict.retained(),
+                "reappeared",
+                verdict.reappeared());
+        listener.listed(select(listed, verdict.accepted()), verdict.retained());
+        select(listed, verdict.reappeared()).forEach(listener::reappeared);
+        eraListener.accept(listed.revision().era());
+    }
+
+    private static List<ObjectEntry> select(PartialList listed, Set<String> names) {
+        return listed.entries().stream()
+                .filter(entry -> names.contains(entry.name()))
+                .toList();
+    }
+
+    /** Treats a restore of the store like the end of an outage, since the connection may have survived it. */
+    private void noteRestore(StoreRevision listRevision) {
+        boolean known = !history.revision().equals(StoreRevision.NONE);
+        if (known && listRevision.isOfLaterEra(history.revision())) {
+            storeUnavailable = true;
+            Events.warn(
+                    LOG,
+                    "store_restored",
+                    "kind",
+                    kind,
+                    "era",
+                    listRevision.era(),
+                    "revision",
+                    listRevision.revision(),
+                    "known_era",
+                    history.revision().era(),
+                    "known_revision",
+                    history.revision().revision());
+        }
     }
 
     private void watch() {
         if (stopped) {
             return;
         }
-        store.watch(kind, revision.revision(), timing.maxWaitMs())
-                .onSuccess(this::handleChanges)
-                .onFailure(this::handleFailure);
+        long nextListMs = history.nextListMs(clock.nowMs());
+        if (history.settling() && nextListMs == 0) {
+            listAnew();
+            return;
+        }
+        int waitMs = history.settling() ? (int) Math.min(timing.maxWaitMs(), nextListMs) : timing.maxWaitMs();
+        store.watch(kind, history.revision().revision(), waitMs)
+                .onSuccess(inRound(this::handleChanges))
+                .onFailure(inRound(this::handleFailure));
     }
 
     private void handleChanges(ObjectChanges changes) {
+        if (changes.revision().isOfLaterEra(history.revision())) {
+            handleFailure(historyLost("the store was restored"));
+            return;
+        }
+        if (history.revision().isOfLaterEra(changes.revision())) {
+            handleFailure(outdated("the changes are of an earlier era"));
+            return;
+        }
         markStoreAvailable();
         backoffMs = INITIAL_BACKOFF_MS;
         lastFailureWasHistoryLoss = false;
-        for (ObjectChanges.Change change : changes.changes()) {
-            if (change.removed()) {
-                listener.removed(change.entry());
-            } else {
-                listener.changed(change.entry());
-            }
-        }
-        revision = revision.revision() < changes.revision().revision() ? changes.revision() : revision;
+        changes.changes().forEach(this::apply);
+        history.advance(changes.revision());
         int batchDelayMs = timing.batchDelayMs().getAsInt();
         if (changes.changes().isEmpty() || batchDelayMs == 0) {
             watch();
         } else {
-            vertx.setTimer(batchDelayMs, fired -> watch());
+            vertx.setTimer(batchDelayMs, inRound(fired -> watch()));
+        }
+    }
+
+    private void apply(ObjectChanges.Change change) {
+        ObjectEntry entry = change.entry();
+        boolean accepted =
+                change.removed() ? history.acceptRemoval(entry.write()) : history.acceptChange(entry.write());
+        if (!accepted) {
+            Events.info(
+                    LOG,
+                    "older_write_ignored",
+                    "kind",
+                    kind,
+                    "name",
+                    entry.name(),
+                    "era",
+                    entry.revision().era(),
+                    "revision",
+                    entry.revision().revision(),
+                    "removed",
+                    change.removed());
+        } else if (change.removed()) {
+            listener.removed(entry);
+        } else {
+            listener.changed(entry);
         }
     }
 
+    private static ServingException historyLost(String detail) {
+        return ServingException.notRun(ErrorCode.HISTORY_LOST, detail);
+    }
+
+    private static ServingException outdated(String detail) {
+        return ServingException.notRun(ErrorCode.STORE_UNAVAILABLE, detail);
+    }
+
     private void markStoreAvailable() {
         if (storeUnavailable) {
             storeUnavailable = false;
-            Events.info(LOG, "store_available", "kind", kind, "era", revision.era(), "revision", revision.revision());
+            Events.info(
+                    LOG,
+                    "store_available",
+                    "kind",
+                    kind,
+                    "era",
+                    history.revision().era(),
+                    "revision",
+                    history.revision().revision());
             listener.storeAvailable();
         }
     }
@@ -165,7 +299,15 @@
         ServingException failure = ServingException.of(cause);
         boolean historyLost = failure.code() == ErrorCode.HISTORY_LOST;
         if (historyLost) {
-            Events.warn(LOG, "history_lost", "kind", kind, "era", revision.era(), "revision", revision.revision());
+            Events.warn(
+                    LOG,
+                    "history_lost",
+                    "kind",
+                    kind,
+                    "era",
+                    history.revision().era(),
+                    "revision",
+                    history.revision().revision());
         } else if (!storeUnavailable) {
             storeUnavailable = true;
             Events.warn(
@@ -174,9 +316,9 @@
                     "kind",
                     kind,
                     "era",
-                    revision.era(),
+                    history.revision().era(),
                     "revision",
-                    revision.revision(),
+                    history.revision().revision(),
                     "failure",
                     failure.getMessage());
         }
@@ -188,13 +330,13 @@
         int delayMs = historyLost && !lastFailureWasHistoryLoss ? 1 : backoffMs / 2 + random.nextInt(backoffMs);
         lastFailureWasHistoryLoss = historyLost;
         backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
-        boolean relist = historyLost || revision.equals(StoreRevision.NONE);
-        vertx.setTimer(delayMs, fired -> {
+        boolean relist = historyLost || history.revision().equals(StoreRevision.NONE);
+        vertx.setTimer(delayMs, inRound(fired -> {
             if (relist) {
-                list(new ArrayList<>());
+                listAnew();
             } else {
                 watch();
             }
-        });
+        }));
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/QuarantineListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/QuarantineListener.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.jboss.logging.Logger;
 import org.pimentovale.gateway.GatewayTables;
 import org.pimentovale.gateway.port.ObjectEntry;
@@ -26,7 +27,7 @@
     }
 
     @Override
-    public void listed(List<ObjectEntry> entries) {
+    public void listed(List<ObjectEntry> entries, Set<String> retained) {
         suspects.storedKeysListed(
                 entries.stream().flatMap(entry -> decode(entry).stream()).toList());
         tables.markListed(ObjectKind.QUARANTINES);
@@ -42,10 +43,21 @@
         decode(entry).ifPresent(suspects::storedKeyRemoved);
     }
 
+    @Override
+    public void reappeared(ObjectEntry entry) {
+        decode(entry).ifPresent(suspects::storedKeyReappeared);
+    }
+
     private Optional<SuspectKey> decode(ObjectEntry entry) {
         Optional<SuspectKey> key = reader.quarantine(entry.value());
         if (key.isEmpty()) {
-            Events.warn(LOG, "quarantine_unreadable", "name", entry.name(), "revision", entry.revision());
+            Events.warn(
+                    LOG,
+                    "quarantine_unreadable",
+                    "name",
+                    entry.name(),
+                    "revision",
+                    entry.revision().revision());
         }
         return key;
     }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
@@ -10,6 +10,7 @@
 import org.jboss.logging.Logger;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.gateway.GatewayTables;
+import org.pimentovale.gateway.port.InstanceRecord;
 import org.pimentovale.gateway.port.ObjectEntry;
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectReader;
@@ -40,11 +41,15 @@
     private static final int ENDPOINTS_BATCH_DELAY_MS_PER_GATEWAY = 5;
     private static final int ENDPOINTS_MAX_BATCH_DELAY_MS = 400;
     private static final int EXPIRY_CHECK_INTERVAL_MS = 200;
+    // The directory itself keeps entries that are missing after an outage for a while.
+    private static final int ENDPOINTS_RETENTION_MS = 0;
+    private static final int RETENTION_MS = 30_000;
 
     private final Vertx vertx;
     private final ObjectReader reader;
     private final GatewayTables tables;
     private final Runnable endpointsChanged;
+    private final InstanceRegistration ownInstance;
     private final List<ObjectFeed> feeds = new ArrayList<>();
     private long expiryTimer = -1;
 
@@ -58,6 +63,7 @@
      * @param suspects receives the quarantined keys
      * @param random adds jitter to the backoff, so that gateways do not retry at the same time
      * @param endpointsChanged called after endpoints, zones or the configuration changed
+     * @param ownInstance keeps this gateway's object in the store
      */
     public StoreSynchronizer(
             Vertx vertx,
@@ -66,41 +72,53 @@
             GatewayTables tables,
             SuspectTracker suspects,
             RandomGenerator random,
-            Runnable endpointsChanged) {
+            Runnable endpointsChanged,
+            InstanceRegistration ownInstance) {
         this.vertx = vertx;
         this.reader = reader;
         this.tables = tables;
         this.endpointsChanged = endpointsChanged;
+        this.ownInstance = ownInstance;
         addFeed(
                 store,
                 random,
                 ObjectKind.CONFIGURATION,
-                new FeedTiming(CONFIGURATION_WAIT_MS, () -> 0),
+                new FeedTiming(CONFIGURATION_WAIT_MS, () -> 0, RETENTION_MS),
                 new ConfigurationListener());
         addFeed(
                 store,
                 random,
                 ObjectKind.ENDPOINTS,
-                new FeedTiming(ENDPOINTS_WAIT_MS, this::endpointsBatchDelayMs),
+                new FeedTiming(ENDPOINTS_WAIT_MS, this::endpointsBatchDelayMs, ENDPOINTS_RETENTION_MS),
                 new EndpointListener());
-        addFeed(store, random, ObjectKind.WITHDRAWN_ZONES, new FeedTiming(ZONES_WAIT_MS, () -> 0), new ZoneListener());
+        addFeed(
+                store,
+                random,
+                ObjectKind.WITHDRAWN_ZONES,
+                new FeedTiming(ZONES_WAIT_MS, () -> 0, RETENTION_MS),
+                new ZoneListener());
         addFeed(
                 store,
                 random,
                 ObjectKind.INSTANCES,
-                new FeedTiming(INSTANCES_WAIT_MS, () -> INSTANCES_BATCH_DELAY_MS),
+                new FeedTiming(INSTANCES_WAIT_MS, () -> INSTANCES_BATCH_DELAY_MS, RETENTION_MS),
                 new InstanceListener());
         addFeed(
                 store,
                 random,
                 ObjectKind.QUARANTINES,
-                new FeedTiming(QUARANTINES_WAIT_MS, () -> 0),
+                new FeedTiming(QUARANTINES_WAIT_MS, () -> 0, RETENTION_MS),
                 new QuarantineListener(reader, tables, suspects));
     }
 
     private void addFeed(
             PlatformStore store, RandomGenerator random, ObjectKind kind, FeedTiming timing, FeedListener listener) {
-        feeds.add(new ObjectFeed(vertx, store, kind, timing, listener, random));
+        feeds.add(new ObjectFeed(vertx, store, kind, timing, listener, random, tables::nowMs, this::noteEra));
+    }
+
+    /** Tells all feeds of a restored store, since a watch may not end for a long time. */
+    private void noteEra(long era) {
+        feeds.forEach(feed -> feed.noteEra(era));
     }
 
     private int endpointsBatchDelayMs() {
@@ -133,7 +151,7 @@
     /** Applies configurations. */
     private final class ConfigurationListener implements FeedListener {
         @Override
-        public void listed(List<ObjectEntry> entries) {
+        public void listed(List<ObjectEntry> entries, Set<String> retained) {
             entries.forEach(this::changed);
         }
 
@@ -150,8 +168,10 @@
                             "configuration_in_force",
                             "version",
                             next.version(),
+                            "era",
+                            entry.revision().era(),
                             "revision",
-                            entry.revision(),
+                            entry.revision().revision(),
                             "routes",
                             next.routes().size());
                     endpointsChanged.run();
@@ -161,7 +181,7 @@
                         LOG,
                         "configuration_damaged",
                         "revision",
-                        entry.revision(),
+                        entry.revision().revision(),
                         "failure",
                         damaged.getMessage(),
                         "in_force",
@@ -186,10 +206,10 @@
         }
 
         @Override
-        public void listed(List<ObjectEntry> entries) {
+        public void listed(List<ObjectEntry> entries, Set<String> retained) {
             List<EndpointRecord> records = new ArrayList<>();
             entries.forEach(entry -> decode(entry).ifPresent(records::add));
-            tables.endpoints().replaceAll(records, tables.nowMs());
+            tables.endpoints().replaceAll(records, retained, tables.nowMs());
             tables.markListed(ObjectKind.ENDPOINTS);
             endpointsChanged.run();
         }
@@ -215,7 +235,7 @@
                         "cold_ms",
                         record.remainingColdMs(),
                         "revision",
-                        entry.revision());
+                        entry.revision().revision());
                 tables.endpoints().put(record, tables.nowMs());
             });
             endpointsChanged.run();
@@ -224,14 +244,26 @@
         @Override
         public void removed(ObjectEntry entry) {
             tables.endpoints().remove(entry.name(), tables.nowMs());
-            Events.info(LOG, "endpoint_removed", "endpoint", entry.name(), "revision", entry.revision());
+            Events.info(
+                    LOG,
+                    "endpoint_removed",
+                    "endpoint",
+                    entry.name(),
+                    "revision",
+                    entry.revision().revision());
             endpointsChanged.run();
         }
 
         private Optional<EndpointRecord> decode(ObjectEntry entry) {
             Optional<EndpointRecord> decoded = reader.endpoint(entry.name(), entry.value());
             if (decoded.isEmpty()) {
-                Events.warn(LOG, "endpoint_unreadable", "endpoint", entry.name(), "revision", entry.revision());
+                Events.warn(
+                        LOG,
+                        "endpoint_unreadable",
+                        "endpoint",
+                        entry.name(),
+                        "revision",
+                        entry.revision().revision());
             }
             return decoded;
         }
@@ -242,8 +274,8 @@
         private final Set<String> zones = new HashSet<>();
 
         @Override
-        public void listed(List<ObjectEntry> entries) {
-            zones.clear();
+        public void listed(List<ObjectEntry> entries, Set<String> retained) {
+            zones.retainAll(retained);
             entries.forEach(entry -> zones.add(entry.name()));
             tables.markListed(ObjectKind.WITHDRAWN_ZONES);
             apply(-1);
@@ -252,13 +284,13 @@
         @Override
         public void changed(ObjectEntry entry) {
             zones.add(entry.name());
-            apply(entry.revision());
+            apply(entry.revision().revision());
         }
 
         @Override
         public void removed(ObjectEntry entry) {
             zones.remove(entry.name());
-            apply(entry.revision());
+            apply(entry.revision().revision());
         }
 
         private void apply(long revision) {
@@ -273,11 +305,26 @@
     /** Updates the table of peers. */
     private final class InstanceListener implements FeedListener {
         @Override
-        public void listed(List<ObjectEntry> entries) {
-            tables.peers()
-                    .replaceAll(entries.stream()
-                            .flatMap(entry -> reader.instance(entry.name(), entry.value()).stream())
-                            .toList());
+        public void listed(List<ObjectEntry> entries, Set<String> retained) {
+            List<InstanceRecord> records = new ArrayList<>(tables.peers().others());
+            records.removeIf(record -> !retained.contains(record.name()));
+            entries.forEach(
+                    entry -> reader.instance(entry.name(), entry.value()).ifPresent(records::add));
+            tables.peers().replaceAll(records);
+            if (entries.stream().noneMatch(this::isOwn)) {
+                ownInstance.missing();
+            }
+        }
+
+        @Override
+        public void reappeared(ObjectEntry entry) {
+            if (tables.peers().owner(entry.name()).isEmpty()) {
+                ownInstance.removeOther(entry.name());
+            }
+        }
+
+        private boolean isOwn(ObjectEntry entry) {
+            return entry.name().equals(tables.peers().self().name());
         }
 
         @Override
@@ -290,6 +337,10 @@
 
         @Override
         public void removed(ObjectEntry entry) {
+            if (isOwn(entry)) {
+                ownInstance.missing();
+                return;
+            }
             tables.peers().remove(entry.name());
             Events.info(LOG, "peer_removed", "peer", entry.name());
         }
--- a/gateway/src/main/java/org/pimentovale/gateway/port/ObjectEntry.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ObjectEntry.java
@@ -1,12 +1,26 @@
 package org.pimentovale.gateway.port;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
+import org.pimentovale.kernel.history.ObjectWrite;
+import org.pimentovale.kernel.history.StoreRevision;
+import org.pimentovale.kernel.history.WriteStamp;
 
 /**
  * An object in the store.
  *
  * @param name the object's name, unique within its kind
  * @param revision the store revision of its last change
+ * @param stamp the order in which its writer wrote it, empty if the content does not tell
  * @param value the object's content
  */
-public record ObjectEntry(String name, long revision, JsonNode value) {}
+public record ObjectEntry(String name, StoreRevision revision, Optional<WriteStamp> stamp, JsonNode value) {
+    /**
+     * Returns the write that led to this state.
+     *
+     * @return the write, without the content
+     */
+    public ObjectWrite write() {
+        return new ObjectWrite(name, revision, stamp);
+    }
+}
--- a/gateway/src/main/java/org/pimentovale/gateway/suspect/SuspectTracker.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/suspect/SuspectTracker.java
@@ -204,6 +204,18 @@
         }
     }
 
+    /**
+     * Removes a key from the store again, if this gateway owns it. A restored store lists it although its quarantine has
+     * ended.
+     *
+     * @param key the key
+     */
+    public void storedKeyReappeared(SuspectKey key) {
+        if (owns(key)) {
+            removeFromStore(key);
+        }
+    }
+
     /**
      * Ends the quarantine of a key that another gateway removed from the store.
      *
--- a/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmupStore.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmupStore.java
@@ -91,7 +91,7 @@
     }
 
     private ObjectEntry entry(String name) {
-        return new ObjectEntry(name, revision, MissingNode.getInstance());
+        return new ObjectEntry(name, new StoreRevision(0, revision), Optional.empty(), MissingNode.getInstance());
     }
 
     @Override
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -80,7 +81,8 @@
                 allChangesDelivered.complete(null);
                 return Promise.<ObjectChanges>promise().future();
             }
-            ObjectEntry entry = new ObjectEntry("name", revision + 1, MissingNode.getInstance());
+            ObjectEntry entry = new ObjectEntry(
+                    "name", new StoreRevision(0, revision + 1), Optional.empty(), MissingNode.getInstance());
             return Future.succeededFuture(new ObjectChanges(
                     List.of(new ObjectChanges.Change(entry, false)), new StoreRevision(0, revision + 1)));
         }
@@ -111,7 +113,7 @@
         private int changes;
 
         @Override
-        public void listed(List<ObjectEntry> entries) {
+        public void listed(List<ObjectEntry> entries, Set<String> retained) {
             assertThat(entries).isEmpty();
         }
 
@@ -135,9 +137,11 @@
                     vertx,
                     historyLosingStore,
                     ObjectKind.INSTANCES,
-                    new FeedTiming(1_000, () -> 0),
+                    new FeedTiming(1_000, () -> 0, 0),
                     new CountingListener(),
-                    new SplittableRandom(1));
+                    new SplittableRandom(1),
+                    () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+                    era -> {});
             vertx.runOnContext(run -> feed.start());
             historyLosingStore.listLimitReached.get(10, TimeUnit.SECONDS);
 
@@ -153,9 +157,11 @@
                     vertx,
                     changingStore,
                     ObjectKind.ENDPOINTS,
-                    new FeedTiming(1_000, () -> BATCH_DELAY_MS),
+                    new FeedTiming(1_000, () -> BATCH_DELAY_MS, 0),
                     listener,
-                    new SplittableRandom(1));
+                    new SplittableRandom(1),
+                    () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+                    era -> {});
             vertx.runOnContext(run -> feed.start());
             changingStore.allChangesDelivered.get(10, TimeUnit.SECONDS);
 
--- a/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
@@ -44,7 +44,18 @@
      * @param nowMs the current time in milliseconds
      */
     public void replaceAll(Collection<EndpointRecord> records, long nowMs) {
-        Set<String> listed = new HashSet<>();
+        replaceAll(records, Set.of(), nowMs);
+    }
+
+    /**
+     * Replaces the entries by a complete list, except those whose previous entry stays in force.
+     *
+     * @param records the endpoints whose listed entry is in force
+     * @param retained the identifiers of the endpoints whose previous entry stays in force
+     * @param nowMs the current time in milliseconds
+     */
+    public void replaceAll(Collection<EndpointRecord> records, Set<String> retained, long nowMs) {
+        Set<String> listed = new HashSet<>(retained);
         for (EndpointRecord listedRecord : records) {
             listed.add(listedRecord.identifier());
             put(listedRecord, nowMs);
--- /dev/null
+++ b/kernel/src/main/java/org/pimentovale/kernel/history/ObjectHistory.java
@@ -0,0 +1,231 @@
+package org.pimentovale.kernel.history;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Decides which statements of the store about the objects of one kind are believed.
+ *
+ * <p>Within an era the store's revision orders all statements. A store that is restored from a backup has lost its last
+ * writes and removals; their writers write them again after a while. Until then, what was confirmed before the restore
+ * stays in force:
+ *
+ * <ul>
+ *   <li>an object whose writer stamps its writes keeps its state while the store states an older write;
+ *   <li>an object that the restored store does not list stays for the retention time of its kind;
+ *   <li>an object that was removed stays removed for {@link #SETTLING_MS}, unless its writer has written it again.
+ * </ul>
+ *
+ * <p>Invariant: the revision never decreases within an era, and the era never decreases. Not thread safe; used on one
+ * event loop.
+ */
+public final class ObjectHistory {
+    /**
+     * Time within which the writers are expected to have written again after a restore, in milliseconds. It covers the
+     * three heartbeat intervals after which the store removes the entry of a stopped endpoint.
+     */
+    public static final long SETTLING_MS = 4_000;
+
+    private static final int MAX_REMOVED_OBJECTS = 4_096;
+
+    private final long retentionMs;
+    private final Map<String, ObjectWrite> present = new LinkedHashMap<>();
+    private final Map<String, ObjectWrite> removed = new LinkedHashMap<>();
+    private StoreRevision revision = StoreRevision.NONE;
+    private boolean settling;
+    private boolean writersExpected;
+    private long restoreNoticedMs;
+    private long nextListAtMs;
+
+    /**
+     * Creates a history without objects.
+     *
+     * @param retentionMs how long an object that a restored store does not list stays in force, in milliseconds
+     */
+    public ObjectHistory(long retentionMs) {
+        this.retentionMs = retentionMs;
+    }
+
+    /**
+     * Returns the revision up to which the store's statements are known.
+     *
+     * @return the revision, {@link StoreRevision#NONE} before the first list
+     */
+    public StoreRevision revision() {
+        return revision;
+    }
+
+    /**
+     * Tells whether the writers may not have written everything again yet after a restore of the store.
+     *
+     * @return whether a list is due when {@link #nextListMs} is over
+     */
+    public boolean settling() {
+        return settling;
+    }
+
+    /**
+     * Returns the time after which the store is to be listed again while {@link #settling}.
+     *
+     * @param nowMs the current time in milliseconds
+     * @return milliseconds, zero if the list is due
+     */
+    public long nextListMs(long nowMs) {
+        return Math.max(0, nextListAtMs - nowMs);
+    }
+
+    /**
+     * Decides on a complete list, which must not precede {@link #revision}.
+     *
+     * @param listRevision the revision of the list
+     * @param listed all listed objects
+     * @param nowMs the current time in milliseconds
+     * @return the decision
+     */
+    public ListVerdict acceptList(StoreRevision listRevision, List<ObjectWrite> listed, long nowMs) {
+        updateSettling(listRevision, nowMs);
+        revision = listRevision;
+        Set<String> accepted = new HashSet<>();
+        Set<String> retained = new HashSet<>();
+        Set<String> reappeared = new HashSet<>();
+        Set<String> unlisted = new HashSet<>(present.keySet());
+        for (ObjectWrite write : listed) {
+            unlisted.remove(write.name());
+            if (staysRemoved(write)) {
+                reappeared.add(write.name());
+            } else if (isOlderThanKnown(write)) {
+                retained.add(write.name());
+            } else {
+                recordPresent(write);
+                accepted.add(write.name());
+            }
+        }
+        for (String name : unlisted) {
+            if (staysPresent(present.get(name), nowMs)) {
+                retained.add(name);
+            } else {
+                recordRemoved(present.get(name));
+            }
+        }
+        return new ListVerdict(accepted, retained, reappeared);
+    }
+
+    private void updateSettling(StoreRevision listRevision, long nowMs) {
+        boolean restored = !revision.equals(StoreRevision.NONE) && listRevision.isOfLaterEra(revision);
+        if (restored) {
+            settling = true;
+            writersExpected = true;
+            restoreNoticedMs = nowMs;
+            nextListAtMs = nowMs + SETTLING_MS;
+        } else if (nowMs >= nextListAtMs) {
+            writersExpected = false;
+            nextListAtMs = restoreNoticedMs + retentionMs;
+            settling = settling && nowMs < nextListAtMs;
+        }
+    }
+
+    private boolean staysRemoved(ObjectWrite write) {
+        ObjectWrite removal = removed.get(write.name());
+        if (!writersExpected || removal == null || !isOfEarlierEra(removal)) {
+            return false;
+        }
+        if (write.stamp().isPresent() && removal.stamp().isPresent()) {
+            return write.stamp().get().compareTo(removal.stamp().get()) <= 0;
+        }
+        return write.revision().revision() <= removal.revision().revision();
+    }
+
+    private boolean isOlderThanKnown(ObjectWrite write) {
+        return isOlder(write, present.get(write.name()));
+    }
+
+    /** Tells whether the writer wrote something older than what was known before the restore. */
+    private boolean isOlder(ObjectWrite write, ObjectWrite known) {
+        return known != null
+                && isOfEarlierEra(known)
+                && write.stamp().isPresent()
+                && known.stamp().isPresent()
+                && isOlder(write.stamp().get(), known.stamp().get());
+    }
+
+    /** Compares stamps; those of different incarnations only soon after a restore, as a writer's clock may have been set back. */
+    private boolean isOlder(WriteStamp stamp, WriteStamp known) {
+        boolean comparable = writersExpected || stamp.incarnation() == known.incarnation();
+        return comparable && stamp.compareTo(known) < 0;
+    }
+
+    private boolean staysPresent(ObjectWrite known, long nowMs) {
+        return settling && isOfEarlierEra(known) && nowMs < restoreNoticedMs + retentionMs;
+    }
+
+    private boolean isOfEarlierEra(ObjectWrite known) {
+        return revision.isOfLaterEra(known.revision());
+    }
+
+    /**
+     * Decides on a change after the last list.
+     *
+     * @param write the write that changed the object
+     * @return whether the new state is believed; if not, the previous one stays in force
+     */
+    public boolean acceptChange(ObjectWrite write) {
+        if (isOlderThanKnown(write) || isOlder(write, removed.get(write.name()))) {
+            return false;
+        }
+        recordPresent(write);
+        return true;
+    }
+
+    /**
+     * Decides on a removal after the last list.
+     *
+     * @param lastWrite the last write of the removed object
+     * @return whether the object is removed; if not, its previous state stays in force
+     */
+    public boolean acceptRemoval(ObjectWrite lastWrite) {
+        if (writersExpected && isOlderThanKnown(lastWrite)) {
+            return false;
+        }
+        recordRemoved(lastWrite);
+        return true;
+    }
+
+    /**
+     * Records that all changes up to a revision of the current era are known.
+     *
+     * @param changesRevision the revision; an earlier one changes nothing
+     */
+    public void advance(StoreRevision changesRevision) {
+        if (revision.precedes(changesRevision)) {
+            revision = changesRevision;
+        }
+    }
+
+    private void recordPresent(ObjectWrite write) {
+        ObjectWrite previous = present.get(write.name());
+        Optional<WriteStamp> stamp =
+                write.stamp().or(() -> Optional.ofNullable(previous).flatMap(ObjectWrite::stamp));
+        removed.remove(write.name());
+        present.put(write.name(), new ObjectWrite(write.name(), write.revision(), stamp));
+    }
+
+    private void recordRemoved(ObjectWrite lastWrite) {
+        ObjectWrite known = present.remove(lastWrite.name());
+        Optional<WriteStamp> stamp =
+                lastWrite.stamp().or(() -> Optional.ofNullable(known).flatMap(ObjectWrite::stamp));
+        removed.remove(lastWrite.name());
+        removed.put(lastWrite.name(), new ObjectWrite(lastWrite.name(), revisionOfRemoval(lastWrite), stamp));
+        if (removed.size() > MAX_REMOVED_OBJECTS) {
+            removed.remove(removed.keySet().iterator().next());
+        }
+    }
+
+    /** Returns the revision up to which a restored store may still list the removed object. */
+    private StoreRevision revisionOfRemoval(ObjectWrite removal) {
+        return removal.revision().precedes(revision) ? revision : removal.revision();
+    }
+}
--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
@@ -9,9 +9,11 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -33,7 +35,7 @@
     private boolean unavailable;
     private boolean unresponsive;
     private long era = 1;
-    private int lists;
+    private final Set<String> listedKinds = new HashSet<>();
 
     private record Change(long revision, String kind, JsonObject object, boolean deleted) {}
 
@@ -163,17 +165,17 @@
         history.removeIf(change -> change.revision() > backup.revision());
         revision = backup.revision();
         era++;
-        lists = 0;
+        listedKinds.clear();
         closePendingWatches();
     }
 
     /**
-     * Returns the number of lists that the store has answered since it was last restored.
+     * Returns the kinds that were listed since the store was last restored.
      *
-     * @return the number, over all kinds
+     * @return the kinds
      */
-    public synchronized int listCount() {
-        return lists;
+    public synchronized Set<String> listedKinds() {
+        return Set.copyOf(listedKinds);
     }
 
     /**
@@ -251,7 +253,7 @@
     }
 
     private void list(HttpServerRequest request, String kind, String after) {
-        lists++;
+        listedKinds.add(kind);
         JsonArray items = new JsonArray();
         Map<String, JsonObject> remaining = objects(kind).tailMap(after, after.isEmpty());
         remaining.values().stream().limit(PAGE_SIZE).forEach(items::add);
