--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -255,6 +255,15 @@
         return state.runningCount() > 0;
     }
 
+    /**
+     * Returns the number of other gateways that this one knows.
+     *
+     * @return the number, responsive or not
+     */
+    public int knownPeers() {
+        return tables.peers().others().size();
+    }
+
     /** Closes all listeners and connections and stops the periodic tasks at once, without draining. */
     public void close() {
         synchronizer.stop();
--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
@@ -188,6 +188,17 @@
         return List.copyOf(objects(kind).keySet());
     }
 
+    /**
+     * Returns the specification of an object.
+     *
+     * @param kind the kind of the object
+     * @param name the name of an existing object
+     * @return the specification
+     */
+    public synchronized JsonObject spec(String kind, String name) {
+        return objects(kind).get(name).getJsonObject("spec");
+    }
+
     private TreeMap<String, JsonObject> objects(String kind) {
         return kinds.computeIfAbsent(kind, unused -> new TreeMap<>());
     }
