--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -37,6 +37,7 @@
 import org.pimentovale.gateway.stage.StageDispatcher;
 import org.pimentovale.gateway.stage.StageDispatchers;
 import org.pimentovale.gateway.stage.StageEndpointClient;
+import org.pimentovale.gateway.stream.StreamOrigins;
 import org.pimentovale.gateway.suspect.SuspectTracker;
 import org.pimentovale.kernel.serving.ServingConfiguration;
 import org.pimentovale.kernel.serving.ServingService;
@@ -59,6 +60,7 @@
     private static final int KEEP_ALIVE_TIMEOUT_SECONDS = 20;
     private static final int MAX_HEADER_BYTES = 64 * 1_024;
     private static final int ACCEPT_BACKLOG = 1_024;
+    private static final int BUILD_OBSERVATION_INTERVAL_MS = 1_000;
     private static final int DRAIN_CHECK_INTERVAL_MS = 50;
     private static final int LOAD_BALANCER_REACTION_MS = 2_600;
     private static final int REFUSAL_MARGIN_MS = 2_000;
@@ -76,6 +78,7 @@
     private final StageDispatchers stageDispatchers;
     private final StageClient stageClient;
     private final SuspectTracker suspects;
+    private final StreamOrigins origins;
     private final InstanceRegistration registration;
     private final StoreSynchronizer synchronizer;
     private final PeerMonitor monitor;
@@ -83,6 +86,7 @@
     private final PeerListener peerListener;
     private final List<HttpClient> clients = new ArrayList<>();
     private final List<HttpServer> servers = new ArrayList<>();
+    private long buildTimer = -1;
     private int callerPort;
     private int readinessPort;
     private String peerAddress;
@@ -120,6 +124,7 @@
                 service -> new StageDispatcher(vertx, tables, stageEndpointClient, permits, metrics, service));
         this.stageClient = new StageClient(tables, peerCalls, stageDispatchers);
         this.monitor = new PeerMonitor(vertx, tables, peerCalls, this::servicesWithOwner, stageClient::resubmitFrom);
+        this.origins = new StreamOrigins(tables, peerCalls);
         EndpointClient endpointClient = new EndpointClient(newClient(false, MAX_CONNECTIONS_PER_HOST));
         this.suspects = new SuspectTracker(vertx, tables, peerCalls, store);
         this.registration = new InstanceRegistration(vertx, store, state::draining);
@@ -132,6 +137,7 @@
                 stageClient,
                 suspects,
                 permits,
+                origins,
                 metrics,
                 platform.stageCodec()::addressOf);
         this.callerListener = new CallerListener(tables, state, platform.callerCodec(), services);
@@ -149,7 +155,7 @@
                 "Requests and prompt parts that are not run because endpoints were lost while they ran them.",
                 suspects::quarantinedCount);
         this.peerListener =
-                new PeerListener(tables, stageDispatchers, suspects, permits, state::draining, clock.nowMs());
+                new PeerListener(tables, stageDispatchers, suspects, permits, origins, state::draining, clock.nowMs());
     }
 
     private TimedHttpClient newTimedClient(boolean keepConnections, int connections, ErrorCode failureCode) {
@@ -175,10 +181,17 @@
     }
 
     private void tablesChanged() {
+        observeBuilds();
         stageDispatchers.dispatchAll();
         callerListener.admitHeld();
     }
 
+    private void observeBuilds() {
+        if (tables.ready()) {
+            origins.observeBuilds();
+        }
+    }
+
     /** Returns the services whose stages are queued or whose permits are granted by one gateway. */
     private Set<String> servicesWithOwner() {
         Set<String> names = new HashSet<>();
@@ -213,6 +226,7 @@
                     synchronizer.start();
                     monitor.start();
                     suspects.start();
+                    buildTimer = vertx.setPeriodic(BUILD_OBSERVATION_INTERVAL_MS, fired -> observeBuilds());
                     registration.register(new InstanceRecord(self.name(), peerAddress, self.zone()));
                     Events.info(LOG, "gateway_started", "name", settings.name(), "zone", settings.zone());
                 })
@@ -268,6 +282,7 @@
     public void close() {
         synchronizer.stop();
         monitor.stop();
+        vertx.cancelTimer(buildTimer);
         servers.forEach(HttpServer::close);
         clients.forEach(HttpClient::close);
         suspects.close();
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/EndpointCall.java
@@ -0,0 +1,72 @@
+package org.pimentovale.gateway.caller;
+
+import io.vertx.core.Vertx;
+import org.pimentovale.gateway.endpoint.EndpointClient;
+import org.pimentovale.kernel.directory.EndpointState;
+
+/**
+ * One attempt to run a request at one endpoint.
+ *
+ * <p>Invariant: the call counts as running at its endpoint until it is closed. Not thread safe; used on one event loop.
+ */
+final class EndpointCall {
+    private final Vertx vertx;
+    private final EndpointState endpoint;
+    private final EndpointClient.PendingRequest pendingRequest;
+    private final long sentMs;
+    private boolean open = true;
+    private boolean answerContinued;
+    private long responseTimer = -1;
+
+    EndpointCall(Vertx vertx, EndpointState endpoint, EndpointClient.PendingRequest pendingRequest, long sentMs) {
+        this.vertx = vertx;
+        this.endpoint = endpoint;
+        this.pendingRequest = pendingRequest;
+        this.sentMs = sentMs;
+        endpoint.startCall();
+    }
+
+    EndpointState endpoint() {
+        return endpoint;
+    }
+
+    EndpointClient.PendingRequest pendingRequest() {
+        return pendingRequest;
+    }
+
+    long sentMs() {
+        return sentMs;
+    }
+
+    boolean open() {
+        return open;
+    }
+
+    /** Tells whether the endpoint continued its answer after its beginning. */
+    boolean answerContinued() {
+        return answerContinued;
+    }
+
+    void markAnswerContinued() {
+        answerContinued = true;
+    }
+
+    /** Runs an action if no response head has arrived in time. */
+    void startResponseTimer(long timeoutMs, Runnable action) {
+        responseTimer = vertx.setTimer(timeoutMs, fired -> action.run());
+    }
+
+    void cancelResponseTimer() {
+        vertx.cancelTimer(responseTimer);
+    }
+
+    /** Cancels the call if it is still running. */
+    void close() {
+        if (open) {
+            open = false;
+            endpoint.endCall();
+            cancelResponseTimer();
+            pendingRequest.cancel();
+        }
+    }
+}
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/EndpointCandidates.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/EndpointCandidates.java
@@ -4,11 +4,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.pimentovale.gateway.GatewayTables;
 import org.pimentovale.kernel.directory.EndpointState;
 import org.pimentovale.kernel.placement.EndpointChooser;
 import org.pimentovale.kernel.placement.PromptPart;
 import org.pimentovale.kernel.serving.ServingService;
+import org.pimentovale.kernel.stream.StreamOrigin;
 
 /**
  * Selects the endpoints for one request and tracks those it was sent to. Not thread safe; used on one event loop.
@@ -17,18 +19,52 @@
     private final CallerRequest request;
     private final GatewayTables tables;
     private final Set<String> tried = new HashSet<>();
+    private ServingService service;
+    private Optional<String> build = Optional.empty();
 
     EndpointCandidates(CallerRequest request, GatewayTables tables) {
         this.request = request;
         this.tables = tables;
+        this.service = request.routed().service();
+    }
+
+    /** Returns the service that runs the request. */
+    ServingService service() {
+        return service;
+    }
+
+    /**
+     * Restricts the candidates to the service and the software build that began a stream. Returns false, and changes
+     * nothing, if the request's route does not lead to that service.
+     */
+    boolean restrictTo(StreamOrigin origin) {
+        Optional<ServingService> found = request.routed().route().leadsTo(origin.service())
+                ? tables.configuration().flatMap(configuration -> configuration.service(origin.service()))
+                : Optional.empty();
+        found.ifPresent(beginning -> {
+            service = beginning;
+            build = Optional.of(origin.build());
+        });
+        return found.isPresent();
+    }
+
+    /** Tells whether no endpoint of the build to which the candidates are restricted takes new work any more. */
+    boolean isBuildGone() {
+        return build.isPresent() && usable().findAny().isEmpty();
+    }
+
+    private Stream<EndpointState> usable() {
+        return tables.endpoints().usable(service.name()).stream().filter(this::isOfBuild);
+    }
+
+    private boolean isOfBuild(EndpointState endpoint) {
+        return build.isEmpty() || build.get().equals(endpoint.latest().build());
     }
 
     /** Chooses the best endpoint that may receive the request now, empty if there is none. */
     Optional<EndpointState> choose(long nowMs) {
-        ServingService service = request.routed().service();
-        List<EndpointState> usable = tables.endpoints().usable(service.name()).stream()
-                .filter(endpoint -> mayReceive(endpoint, service, nowMs))
-                .toList();
+        List<EndpointState> usable =
+                usable().filter(endpoint -> mayReceive(endpoint, nowMs)).toList();
         return EndpointChooser.choose(
                 usable,
                 tried,
@@ -37,17 +73,16 @@
                 nowMs);
     }
 
-    private boolean mayReceive(EndpointState endpoint, ServingService service, long nowMs) {
-        return endpoint.withheldMs(nowMs) == 0 && isWithinColdLimit(endpoint, service, nowMs);
+    private boolean mayReceive(EndpointState endpoint, long nowMs) {
+        return endpoint.withheldMs(nowMs) == 0 && isWithinColdLimit(endpoint, nowMs);
     }
 
     /** Tells whether an endpoint that was chosen before, and for which a permit was granted, is usable. */
     boolean isStillUsable(EndpointState endpoint, long nowMs) {
-        return tables.endpoints().isUsable(endpoint)
-                && isWithinColdLimit(endpoint, request.routed().service(), nowMs);
+        return tables.endpoints().isUsable(endpoint) && isOfBuild(endpoint) && isWithinColdLimit(endpoint, nowMs);
     }
 
-    private boolean isWithinColdLimit(EndpointState endpoint, ServingService service, long nowMs) {
+    private boolean isWithinColdLimit(EndpointState endpoint, long nowMs) {
         return !endpoint.cold(nowMs)
                 || service.coldRequestsPerSecond() <= 0
                 || tables.coldEndpointLimiter()
@@ -60,8 +95,7 @@
 
     /** Returns the shortest time after which an endpoint that is at its rate limit may be usable, zero if none is. */
     long withheldMs(long nowMs) {
-        return tables.endpoints().usable(request.routed().service().name()).stream()
-                .mapToLong(endpoint -> endpoint.withheldMs(nowMs))
+        return usable().mapToLong(endpoint -> endpoint.withheldMs(nowMs))
                 .filter(waitMs -> waitMs > 0)
                 .min()
                 .orElse(0);
@@ -73,7 +107,6 @@
 
     /** Tells whether there is a usable endpoint to which the request has not been sent. */
     boolean hasUntried() {
-        return tables.endpoints().usable(request.routed().service().name()).stream()
-                .anyMatch(endpoint -> !tried.contains(endpoint.latest().identifier()));
+        return usable().anyMatch(endpoint -> !tried.contains(endpoint.latest().identifier()));
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
@@ -6,20 +6,19 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.jboss.logging.Logger;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.Outcome;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.gateway.GatewayTables;
-import org.pimentovale.gateway.endpoint.EndpointClient;
+import org.pimentovale.gateway.port.CallerAttempt.ResumedStream;
 import org.pimentovale.gateway.port.DispatchContext;
 import org.pimentovale.gateway.port.ResponseHead;
+import org.pimentovale.kernel.directory.EndpointRecord;
 import org.pimentovale.kernel.directory.EndpointState;
 import org.pimentovale.kernel.serving.RequestKind;
-import org.pimentovale.kernel.serving.ServingConfiguration;
 import org.pimentovale.kernel.serving.ServingRoute;
 import org.pimentovale.kernel.serving.ServingService;
-import org.pimentovale.log.Events;
+import org.pimentovale.kernel.stream.StreamOrigin;
 
 /**
  * Executes one request of a caller: runs its stages, sends it to an endpoint and relays the response.
@@ -29,7 +28,6 @@
  * exactly once, and then its calls, stages and timers are cancelled. Not thread safe; used on one event loop.
  */
 public final class RequestExecution {
-    private static final Logger LOG = Logger.getLogger(RequestExecution.class);
     private static final int ENDPOINT_CHECK_INTERVAL_MS = 25;
     private static final int ENDPOINT_WAIT_GOAL_DIVISOR = 8;
     private static final double RESPONSE_TIMEOUT_GOAL_FRACTION = 0.6;
@@ -44,6 +42,7 @@
     private final RequestServices services;
     private final Consumer<RequestExecution> onEnd;
     private final EndpointCandidates candidates;
+    private final RequestLog log;
     private Optional<StagePhase> stagePhase = Optional.empty();
     private Optional<List<String>> stageResults = Optional.empty();
     private Optional<EndpointCall> currentCall = Optional.empty();
@@ -51,34 +50,10 @@
     private boolean mayHaveRun;
     private boolean sentBefore;
     private int endpointsThatMayHaveRun;
+    private int dispatches;
     private long deadlineTimer = -1;
     private long dispatchStartedMs = -1;
 
-    /** One attempt to run the request at one endpoint. */
-    private final class EndpointCall {
-        private final EndpointState endpoint;
-        private final EndpointClient.PendingRequest pendingRequest;
-        private final long sentMs = tables.nowMs();
-        private boolean open = true;
-        private boolean answerContinued;
-        private long responseTimer = -1;
-
-        private EndpointCall(EndpointState endpoint, EndpointClient.PendingRequest pendingRequest) {
-            this.endpoint = endpoint;
-            this.pendingRequest = pendingRequest;
-            endpoint.startCall();
-        }
-
-        private void close() {
-            if (open) {
-                open = false;
-                endpoint.endCall();
-                services.vertx().cancelTimer(responseTimer);
-                pendingRequest.cancel();
-            }
-        }
-    }
-
     /**
      * Creates an execution.
      *
@@ -100,6 +75,7 @@
         this.services = services;
         this.onEnd = onEnd;
         this.candidates = new EndpointCandidates(request, tables);
+        this.log = new RequestLog(request, tables);
     }
 
     /** Starts the execution after the request has been read completely. */
@@ -112,6 +88,28 @@
         if (refuseQuarantined()) {
             return;
         }
+        if (isStream() && request.attempt().resumed().isPresent()) {
+            resume(request.attempt().resumed().get());
+        } else {
+            run();
+        }
+    }
+
+    private boolean isStream() {
+        return request.routed().route().kind() == RequestKind.STREAMING;
+    }
+
+    private void resume(ResumedStream stream) {
+        new StreamResumption(services.origins(), candidates, log)
+                .restrict(stream)
+                .onSuccess(restricted -> run())
+                .onFailure(failure -> fail(ServingException.of(failure)));
+    }
+
+    private void run() {
+        if (ended) {
+            return;
+        }
         if (request.routed().route().stages().isEmpty()) {
             dispatch();
             return;
@@ -175,7 +173,7 @@
     }
 
     private void sendWithinRetryBudget(EndpointState endpoint) {
-        ServingService service = request.routed().service();
+        ServingService service = candidates.service();
         if (sentBefore && !tables.tryTakeRetry(service.name())) {
             fail(createFailure(ErrorCode.RETRY_BUDGET_EXHAUSTED, "no retry left for service " + service.name()));
         } else {
@@ -185,11 +183,11 @@
 
     private void waitForEndpoint(long nowMs) {
         long maxWaitMs = request.routed().route().goalMs() / ENDPOINT_WAIT_GOAL_DIVISOR;
-        if (mayHaveRun || nowMs - dispatchStartedMs >= maxWaitMs) {
+        if (mayHaveRun || candidates.isBuildGone() || nowMs - dispatchStartedMs >= maxWaitMs) {
             fail(createFailure(
                             ErrorCode.NO_ENDPOINT,
                             "no usable endpoint of service "
-                                    + request.routed().service().name())
+                                    + candidates.service().name())
                     .withRetryAfter(Math.max(DEFAULT_RETRY_AFTER_MS, candidates.withheldMs(nowMs))));
             return;
         }
@@ -211,9 +209,11 @@
         }
         sentBefore = true;
         candidates.markTried(identifier);
+        recordOrigin(endpoint.latest());
         DispatchContext dispatch = new DispatchContext(
                 identifier, remainingMs, request.routed().workspace().map(workspace -> workspace.name()), stageResults);
         EndpointCall call = new EndpointCall(
+                services.vertx(),
                 endpoint,
                 services.endpoints()
                         .send(
@@ -221,16 +221,38 @@
                                 request.method(),
                                 request.uri(),
                                 services.endpointCodec().requestHeaders(request.headers(), dispatch),
-                                request.body()));
+                                request.body()),
+                nowMs);
         currentCall = Optional.of(call);
-        log("request_sent", "endpoint", identifier, "left_ms", remainingMs, "calls", endpoint.expectedCalls(nowMs));
+        log.info(
+                "request_sent",
+                "endpoint",
+                identifier,
+                "build",
+                endpoint.latest().build(),
+                "left_ms",
+                remainingMs,
+                "calls",
+                endpoint.expectedCalls(nowMs));
         startResponseTimer(call);
-        call.pendingRequest
+        call.pendingRequest()
                 .head()
                 .onSuccess(response -> handleHead(call, response))
                 .onFailure(failure -> callFailed(call, ServingException.of(failure)));
     }
 
+    private void recordOrigin(EndpointRecord endpoint) {
+        dispatches++;
+        if (isStream()
+                && request.routed().route().resumable()
+                && request.attempt().resumed().isEmpty()) {
+            services.origins()
+                    .record(
+                            request.attempt().identifier(),
+                            new StreamOrigin(endpoint.service(), endpoint.build(), dispatches));
+        }
+    }
+
     /**
      * Starts the timer after which an idempotent request is sent to another endpoint. The timeout is a fraction of the
      * latency goal, which leaves time for the second attempt.
@@ -241,26 +263,22 @@
             return;
         }
         long timeoutMs = Math.max(1, Math.round(route.goalMs() * RESPONSE_TIMEOUT_GOAL_FRACTION));
-        call.responseTimer = services.vertx()
-                .setTimer(
-                        timeoutMs,
-                        fired -> callFailed(
-                                call,
-                                ServingException.unknown(
-                                        ErrorCode.PROGRESS_TIMEOUT, "response head not received in time")));
+        ServingException timeout =
+                ServingException.unknown(ErrorCode.PROGRESS_TIMEOUT, "response head not received in time");
+        call.startResponseTimer(timeoutMs, () -> callFailed(call, timeout));
     }
 
     private void callFailed(EndpointCall call, ServingException failure) {
-        if (ended || !call.open) {
+        if (ended || !call.open()) {
             return;
         }
         call.close();
-        call.endpoint.recordFailure(tables.nowMs());
+        call.endpoint().recordFailure(tables.nowMs());
         reportSuspect(call, failure);
         services.metrics()
                 .recordEndpointFailure(
-                        request.routed().service().name(), failure.code().label());
-        log("send_failed", "endpoint", call.endpoint.latest().identifier(), "failure", failure.getMessage());
+                        candidates.service().name(), failure.code().label());
+        log.info("send_failed", "endpoint", call.endpoint().latest().identifier(), "failure", failure.getMessage());
         if (failure.outcome() == Outcome.NOT_RUN) {
             dispatch();
         } else {
@@ -271,16 +289,16 @@
     /** Reports a lost connection, since the request may have crashed the endpoint unless it continued its answer. */
     private void reportSuspect(EndpointCall call, ServingException failure) {
         if (failure.code() == ErrorCode.CONNECTION_LOST || failure.code() == ErrorCode.STREAM_TRUNCATED) {
-            log(
+            log.info(
                     "request_lost",
                     "endpoint",
-                    call.endpoint.latest().identifier(),
+                    call.endpoint().latest().identifier(),
                     "answer_continued",
-                    call.answerContinued,
+                    call.answerContinued(),
                     "shared_parts",
                     request.attempt().sharedParts());
-            if (!call.answerContinued) {
-                services.suspects().recordConnectionLoss(call.endpoint.latest(), request.lostRequest());
+            if (!call.answerContinued()) {
+                services.suspects().recordConnectionLoss(call.endpoint().latest(), request.lostRequest());
             }
         }
     }
@@ -297,16 +315,16 @@
     }
 
     private void handleHead(EndpointCall call, HttpClientResponse response) {
-        if (ended || !call.open) {
+        if (ended || !call.open()) {
             return;
         }
-        services.vertx().cancelTimer(call.responseTimer);
+        call.cancelResponseTimer();
         ResponseHead head = services.endpointCodec().readResponseHead(response.statusCode(), response.headers());
         if (head.status() != STATUS_MISDIRECTED_REQUEST) {
             boolean complete = !head.notRun() && matchesRequest(head);
-            services.permits().recordResponse(call.endpoint, head.requestsPerSecond(), complete);
+            services.permits().recordResponse(call.endpoint(), head.requestsPerSecond(), complete);
         }
-        head.pendingCalls().ifPresent(calls -> call.endpoint.recordLoad(calls, tables.nowMs()));
+        head.pendingCalls().ifPresent(calls -> call.endpoint().recordLoad(calls, tables.nowMs()));
         if (head.notRun()) {
             handleRefusal(call, head);
         } else if (!matchesRequest(head) || REFUSAL_STATUSES.contains(head.status())) {
@@ -314,7 +332,7 @@
         } else if (head.status() >= 500 && mayTryAnotherEndpoint()) {
             callFailed(call, ServingException.unknown(ErrorCode.ENDPOINT_FAILED, "status " + head.status()));
         } else {
-            boolean stream = request.routed().route().kind() == RequestKind.STREAMING && head.status() < 300;
+            boolean stream = isStream() && head.status() < 300;
             RelayedCall relayedCall = new RelayedCall(call, head.status(), stream);
             new ResponseRelay(response, callerResponse, services.endpointCodec(), stream, relayedCall).start();
         }
@@ -334,11 +352,11 @@
 
     private void handleRefusal(EndpointCall call, ResponseHead head) {
         call.close();
-        String identifier = call.endpoint.latest().identifier();
-        services.metrics().recordEndpointFailure(request.routed().service().name(), "refused-" + head.status());
-        log("refused_by_endpoint", "endpoint", identifier, "status", head.status());
+        String identifier = call.endpoint().latest().identifier();
+        services.metrics().recordEndpointFailure(candidates.service().name(), "refused-" + head.status());
+        log.info("refused_by_endpoint", "endpoint", identifier, "status", head.status());
         if (head.status() == STATUS_MISDIRECTED_REQUEST) {
-            call.endpoint.recordFailure(tables.nowMs());
+            call.endpoint().recordFailure(tables.nowMs());
         }
         if (head.status() == STATUS_CONFLICT) {
             fail(createFailure(ErrorCode.STAGE_FAILED, "a stage result is no longer available"));
@@ -349,7 +367,7 @@
 
     private void succeeded(EndpointCall call, int status) {
         if (status < 500) {
-            call.endpoint.recordSuccess();
+            call.endpoint().recordSuccess();
         }
         if (status < 300) {
             services.suspects().recordAnswer(request.attempt().sharedParts());
@@ -371,24 +389,24 @@
 
         @Override
         public boolean active() {
-            return !ended && call.open;
+            return !ended && call.open();
         }
 
         @Override
         public void begun() {
             stagePhase.ifPresent(StagePhase::end);
             if (stream) {
-                long waitedMs = tables.nowMs() - call.sentMs;
+                long waitedMs = tables.nowMs() - call.sentMs();
                 String route = request.routed().route().name();
                 tables.firstEventEstimates().record(route, (double) waitedMs);
                 services.metrics().recordFirstEvent(route, waitedMs);
-                log("stream_begun", "endpoint", call.endpoint.latest().identifier(), "waited_ms", waitedMs);
+                log.info("stream_begun", "endpoint", call.endpoint().latest().identifier(), "waited_ms", waitedMs);
             }
         }
 
         @Override
         public void continued() {
-            call.answerContinued = true;
+            call.markAnswerContinued();
             services.suspects().recordAnswer(request.attempt().sharedParts());
         }
 
@@ -405,7 +423,7 @@
                 callFailed(call, failure);
                 return;
             }
-            call.endpoint.recordFailure(tables.nowMs());
+            call.endpoint().recordFailure(tables.nowMs());
             reportSuspect(call, failure);
             callerResponse.abort();
             end(failure.getMessage(), 0);
@@ -427,13 +445,13 @@
 
     /** Refuses the request because the gateway shuts down, unless an endpoint may be running it. */
     public void refuseUnlessSent() {
-        if (!mayHaveRun && currentCall.filter(call -> call.open).isEmpty()) {
+        if (!mayHaveRun && currentCall.filter(call -> call.open()).isEmpty()) {
             fail(ServingException.notRun(ErrorCode.INSTANCE_DRAINING, "shutting down"));
         }
     }
 
     private void expire() {
-        boolean mayRun = mayHaveRun || currentCall.filter(call -> call.open).isPresent();
+        boolean mayRun = mayHaveRun || currentCall.filter(call -> call.open()).isPresent();
         fail(new ServingException(
                 ErrorCode.DEADLINE_EXCEEDED, mayRun ? Outcome.UNKNOWN : Outcome.NOT_RUN, "deadline has passed"));
     }
@@ -467,26 +485,8 @@
         currentCall.ifPresent(EndpointCall::close);
         stagePhase.ifPresent(StagePhase::end);
         long elapsedMs = tables.nowMs() - request.arrivedMs();
-        services.metrics().recordRequest(request.routed().route().name(), status, label(outcome), elapsedMs);
-        log("request_ended", "status", status, "outcome", outcome, "elapsed_ms", elapsedMs);
+        services.metrics().recordRequest(request.routed().route().name(), status, RequestLog.label(outcome), elapsedMs);
+        log.info("request_ended", "status", status, "outcome", outcome, "elapsed_ms", elapsedMs);
         onEnd.accept(this);
     }
-
-    /** Returns the error code that starts an outcome, without the details after the colon. */
-    private static String label(String outcome) {
-        int colon = outcome.indexOf(':');
-        return colon < 0 ? outcome : outcome.substring(0, colon);
-    }
-
-    private void log(String event, Object... keysAndValues) {
-        Object[] line = new Object[keysAndValues.length + 6];
-        line[0] = "request";
-        line[1] = request.attempt().identifier();
-        line[2] = "route";
-        line[3] = request.routed().route().name();
-        line[4] = "version";
-        line[5] = tables.configuration().map(ServingConfiguration::version).orElse(-1L);
-        System.arraycopy(keysAndValues, 0, line, 6, keysAndValues.length);
-        Events.info(LOG, event, line);
-    }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestServices.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestServices.java
@@ -7,6 +7,7 @@
 import org.pimentovale.gateway.metric.GatewayMetrics;
 import org.pimentovale.gateway.port.EndpointCodec;
 import org.pimentovale.gateway.stage.StageClient;
+import org.pimentovale.gateway.stream.StreamOrigins;
 import org.pimentovale.gateway.suspect.SuspectTracker;
 
 /**
@@ -18,6 +19,7 @@
  * @param stages runs stages through their owners
  * @param suspects tracks the requests that crash endpoints
  * @param permits keeps to the rate limits that endpoints name
+ * @param origins remembers where resumable streams began
  * @param metrics the gateway's metrics
  * @param resultAddress maps the handle of a stage result to the address of the endpoint that stores it
  */
@@ -28,5 +30,6 @@
         StageClient stages,
         SuspectTracker suspects,
         RequestPermits permits,
+        StreamOrigins origins,
         GatewayMetrics metrics,
         UnaryOperator<String> resultAddress) {}
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/StreamResumption.java
@@ -0,0 +1,63 @@
+package org.pimentovale.gateway.caller;
+
+import io.vertx.core.Future;
+import java.util.Optional;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
+import org.pimentovale.gateway.port.CallerAttempt.ResumedStream;
+import org.pimentovale.gateway.stream.StreamOrigins;
+import org.pimentovale.kernel.stream.StreamOrigin;
+
+/**
+ * Restricts the endpoints of a resumed stream to the software build that began it, since other builds write other
+ * events.
+ *
+ * <p>Not thread safe; used on one event loop.
+ */
+final class StreamResumption {
+    private final StreamOrigins origins;
+    private final EndpointCandidates candidates;
+    private final RequestLog log;
+
+    StreamResumption(StreamOrigins origins, EndpointCandidates candidates, RequestLog log) {
+        this.origins = origins;
+        this.candidates = candidates;
+        this.log = log;
+    }
+
+    /**
+     * Restricts the candidates. Fails with {@link ErrorCode#STREAM_ORIGIN_UNKNOWN} and outcome "not run" if the stream
+     * cannot go on.
+     */
+    Future<Void> restrict(ResumedStream stream) {
+        String firstAttempt = stream.firstAttempt().orElse("");
+        return origins.find(firstAttempt, candidates.service().name()).compose(origin -> {
+            Optional<String> obstacle = restrictTo(firstAttempt, origin);
+            log.info(
+                    "stream_resumed",
+                    "first_attempt",
+                    firstAttempt,
+                    "origin",
+                    origin.map(StreamOrigin::toString).orElse("unknown"),
+                    "refused",
+                    obstacle.orElse("no"));
+            return obstacle.isEmpty()
+                    ? Future.succeededFuture()
+                    : Future.failedFuture(ServingException.notRun(ErrorCode.STREAM_ORIGIN_UNKNOWN, obstacle.get()));
+        });
+    }
+
+    /** Returns the reason why the stream cannot go on, empty if it can. */
+    private Optional<String> restrictTo(String firstAttempt, Optional<StreamOrigin> origin) {
+        if (origin.isEmpty()) {
+            return Optional.of("no gateway knows where attempt " + firstAttempt + " began");
+        }
+        if (!candidates.restrictTo(origin.get())) {
+            return Optional.of(
+                    "the route does not lead to service " + origin.get().service());
+        }
+        return candidates.isBuildGone()
+                ? Optional.of("no endpoint runs build " + origin.get().build())
+                : Optional.empty();
+    }
+}
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.jboss.logging.Logger;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
@@ -19,13 +20,15 @@
 import org.pimentovale.gateway.stage.StageProblem;
 import org.pimentovale.gateway.stage.StageRelease;
 import org.pimentovale.gateway.stage.StageResponse;
+import org.pimentovale.gateway.stream.OriginQuestion;
+import org.pimentovale.gateway.stream.OriginRecord;
+import org.pimentovale.gateway.stream.StreamOrigins;
 import org.pimentovale.gateway.suspect.LossReport;
 import org.pimentovale.gateway.suspect.QuarantineNotice;
 import org.pimentovale.gateway.suspect.SuspectTracker;
 import org.pimentovale.json.Json;
 import org.pimentovale.kernel.batch.StageTicket;
 import org.pimentovale.kernel.batch.StageWork;
-import org.pimentovale.kernel.limit.Permit;
 import org.pimentovale.log.Events;
 
 /** Handles requests from the other gateways. Not thread safe; used on one event loop. */
@@ -38,6 +41,7 @@
     private final StageDispatchers dispatchers;
     private final SuspectTracker suspects;
     private final RequestPermits permits;
+    private final StreamOrigins origins;
     private final BooleanSupplier draining;
     private final long startedAtMs;
 
@@ -48,6 +52,7 @@
      * @param dispatchers the dispatchers of this gateway's services
      * @param suspects receives reports on suspected requests
      * @param permits grants permits to peers
+     * @param origins remembers where streams began
      * @param draining returns whether this gateway is shutting down
      * @param startedAtMs time at which this gateway started, in milliseconds of the tables' clock
      */
@@ -56,12 +61,14 @@
             StageDispatchers dispatchers,
             SuspectTracker suspects,
             RequestPermits permits,
+            StreamOrigins origins,
             BooleanSupplier draining,
             long startedAtMs) {
         this.tables = tables;
         this.dispatchers = dispatchers;
         this.suspects = suspects;
         this.permits = permits;
+        this.origins = origins;
         this.draining = draining;
         this.startedAtMs = startedAtMs;
     }
@@ -81,7 +88,12 @@
             case PeerPaths.STAGE_WORK -> http.body().onSuccess(body -> handleStageWork(http, body.getBytes()));
             case PeerPaths.SUSPECT ->
                 http.body().onSuccess(body -> handleMessage(http, body, LossReport.class, suspects::handleLoss));
-            case PeerPaths.PERMIT -> http.body().onSuccess(body -> handlePermitRequest(http, body));
+            case PeerPaths.PERMIT ->
+                http.body().onSuccess(body -> handleQuestion(http, body, PermitRequest.class, permits::handleRequest));
+            case PeerPaths.STREAM_ORIGIN_LOOKUP ->
+                http.body().onSuccess(body -> handleQuestion(http, body, OriginQuestion.class, origins::answer));
+            case PeerPaths.STREAM_ORIGIN ->
+                http.body().onSuccess(body -> handleMessage(http, body, OriginRecord.class, origins::handleRecord));
             case PeerPaths.LIMIT_LIFTED ->
                 http.body().onSuccess(body -> handleMessage(http, body, LiftedLimit.class, permits::handleLifted));
             case PeerPaths.QUARANTINE ->
@@ -114,10 +126,10 @@
                 .onFailure(failure -> sendProblem(http, ServingException.of(failure)));
     }
 
-    private void handlePermitRequest(HttpServerRequest http, Buffer body) {
+    private static <T> void handleQuestion(
+            HttpServerRequest http, Buffer body, Class<T> type, Function<T, Object> answer) {
         try {
-            Permit permit = permits.handleRequest(Json.read(body.getBytes(), PermitRequest.class));
-            sendResponse(http, Json.write(permit), STATUS_OK);
+            sendResponse(http, Json.write(answer.apply(Json.read(body.getBytes(), type))), STATUS_OK);
         } catch (ServingException malformed) {
             Events.warn(LOG, "peer_message_unreadable", "failure", malformed.getMessage());
             sendProblem(http, malformed);
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerPaths.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerPaths.java
@@ -14,6 +14,10 @@
     public static final String PERMIT = "/permit";
     /** Announces that an endpoint names no rate limit any more. */
     public static final String LIMIT_LIFTED = "/limit-lifted";
+    /** Records where a stream begins. */
+    public static final String STREAM_ORIGIN = "/stream-origin";
+    /** Asks where a stream began. */
+    public static final String STREAM_ORIGIN_LOOKUP = "/stream-origin-lookup";
     /** Liveness check; status 503 while the gateway is draining. */
     public static final String ALIVE = "/alive";
 
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerTable.java
@@ -142,6 +142,19 @@
         return names;
     }
 
+    /**
+     * Returns all other gateways in the order of their rendezvous hash weights for a key.
+     *
+     * @param key the key
+     * @return their records, responsive or not, the one with the highest weight first
+     */
+    public List<InstanceRecord> ranked(String key) {
+        return peers.values().stream()
+                .sorted(Comparator.comparingLong((InstanceRecord peer) -> RendezvousHash.weight(key, peer.name()))
+                        .reversed())
+                .toList();
+    }
+
     /**
      * Returns the gateway that owns a key, such as a service or a fingerprint.
      *
--- a/gateway/src/main/java/org/pimentovale/gateway/port/CallerAttempt.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/CallerAttempt.java
@@ -14,6 +14,7 @@
  * @param pieceCounts the number of pieces of each stage, in the order of the stages
  * @param pieceKey identifies the input of the first stages
  * @param prompt the parts of the prompt, in order; the last is specific to this request
+ * @param resumed the stream of which the caller has events already, empty if it has none
  */
 public record CallerAttempt(
         String identifier,
@@ -21,7 +22,15 @@
         Optional<String> key,
         List<Integer> pieceCounts,
         Optional<String> pieceKey,
-        List<PromptPart> prompt) {
+        List<PromptPart> prompt,
+        Optional<ResumedStream> resumed) {
+    /**
+     * A stream that the caller takes up again.
+     *
+     * @param firstAttempt the identifier of the attempt that brought its first event, empty if the caller names none
+     */
+    public record ResumedStream(Optional<String> firstAttempt) {}
+
     /** Copies the lists. */
     public CallerAttempt {
         pieceCounts = List.copyOf(pieceCounts);
--- a/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmup.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmup.java
@@ -167,7 +167,7 @@
     }
 
     private static EndpointRecord endpoint(String identifier, String service, String address) {
-        return new EndpointRecord(identifier, service, address, "zone", 8, false, 0, 0);
+        return new EndpointRecord(identifier, service, address, "zone", 8, false, 0, 0, "");
     }
 
     private Future<Void> sendNext() {
--- a/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointRecord.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointRecord.java
@@ -11,6 +11,7 @@
  * @param draining whether it accepts no new work
  * @param remainingColdMs the remaining warm-up time when the entry was written, in milliseconds
  * @param startedMs the start time of the endpoint in Unix milliseconds, zero if unknown; a change means a restart
+ * @param build the version of the software that it runs, empty if unknown
  */
 public record EndpointRecord(
         String identifier,
@@ -20,7 +21,8 @@
         int slots,
         boolean draining,
         double remainingColdMs,
-        long startedMs) {
+        long startedMs,
+        String build) {
     /**
      * Returns a text that differs for each start of the endpoint.
      *
--- a/kernel/src/main/java/org/pimentovale/kernel/serving/ServingRoute.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/serving/ServingRoute.java
@@ -72,6 +72,19 @@
         return chosen;
     }
 
+    /**
+     * Tells whether requests of this route may run at a service.
+     *
+     * @param name the service's name
+     * @return whether the route names the service with a weight above zero, or without any weights
+     */
+    public boolean leadsTo(String name) {
+        boolean weighted = services.stream().anyMatch(service -> service.weight() > 0);
+        return services.stream()
+                .filter(service -> service.weight() > 0 || !weighted)
+                .anyMatch(service -> service.service().equals(name));
+    }
+
     /**
      * Returns the stages whose results are the inputs of the final service.
      *
--- /dev/null
+++ b/kernel/src/main/java/org/pimentovale/kernel/stream/BuildHistory.java
@@ -0,0 +1,58 @@
+package org.pimentovale.kernel.stream;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.pimentovale.kernel.directory.EndpointState;
+
+/**
+ * The software builds of each service that were listed lately.
+ *
+ * <p>While a service has had a single build for longer than any stream lasts, all of its streams began at that build.
+ * Not thread safe; used on one event loop.
+ */
+public final class BuildHistory {
+    /** The time over which builds are remembered, in milliseconds; longer than a stream lasts over all attempts. */
+    public static final long WINDOW_MS = 30_000;
+
+    private final Map<String, Map<String, Long>> lastSeenMs = new HashMap<>();
+    private long observedSinceMs = Long.MAX_VALUE;
+
+    /**
+     * Records the listed endpoints. To be called periodically and after each change.
+     *
+     * @param endpoints all listed endpoints, usable or not
+     * @param nowMs the current time in milliseconds
+     */
+    public void observe(Collection<EndpointState> endpoints, long nowMs) {
+        observedSinceMs = Math.min(observedSinceMs, nowMs);
+        for (EndpointState endpoint : endpoints) {
+            lastSeenMs
+                    .computeIfAbsent(endpoint.latest().service(), unused -> new HashMap<>())
+                    .put(endpoint.latest().build(), nowMs);
+        }
+        lastSeenMs.values().forEach(builds -> builds.values().removeIf(seenMs -> seenMs + WINDOW_MS < nowMs));
+        lastSeenMs.values().removeIf(Map::isEmpty);
+    }
+
+    /**
+     * Returns the builds of a service that were listed within the last {@link #WINDOW_MS}.
+     *
+     * @param service the service's name
+     * @return the builds, in no particular order
+     */
+    public List<String> recentBuilds(String service) {
+        return List.copyOf(lastSeenMs.getOrDefault(service, Map.of()).keySet());
+    }
+
+    /**
+     * Returns how long the endpoints have been observed.
+     *
+     * @param nowMs the current time in milliseconds
+     * @return milliseconds, zero before the first observation
+     */
+    public long observedMs(long nowMs) {
+        return Math.max(0, nowMs - Math.min(observedSinceMs, nowMs));
+    }
+}
--- a/kernel/src/test/java/org/pimentovale/kernel/directory/EndpointDirectoryTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/directory/EndpointDirectoryTest.java
@@ -12,7 +12,7 @@
     private static EndpointRecord endpoint(
             String identifier, boolean draining, double remainingColdMs, long startedMs) {
         return new EndpointRecord(
-                identifier, "engines", "10.0.0.1:80", "north", 8, draining, remainingColdMs, startedMs);
+                identifier, "engines", "10.0.0.1:80", "north", 8, draining, remainingColdMs, startedMs, "");
     }
 
     private List<String> usable() {
--- a/kernel/src/test/java/org/pimentovale/kernel/placement/EndpointChooserTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/placement/EndpointChooserTest.java
@@ -19,7 +19,7 @@
     void listEndpoints() {
         for (String name : List.of("a", "b", "c")) {
             String zone = name.equals("c") ? "south" : "north";
-            directory.put(new EndpointRecord(name, "s", "10.0.0.1:80", zone, 6, false, 0, 1), 0);
+            directory.put(new EndpointRecord(name, "s", "10.0.0.1:80", zone, 6, false, 0, 1, ""), 0);
         }
     }
 
--- /dev/null
+++ b/kernel/src/test/java/org/pimentovale/kernel/stream/StreamOriginTest.java
@@ -0,0 +1,117 @@
+package org.pimentovale.kernel.stream;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pimentovale.kernel.directory.EndpointDirectory;
+import org.pimentovale.kernel.directory.EndpointRecord;
+
+class StreamOriginTest {
+    private static final StreamOrigin FIRST = new StreamOrigin("engines", "v1", 1);
+    private static final StreamOrigin SECOND = new StreamOrigin("engines", "v2", 2);
+
+    @Nested
+    class Table {
+        private final StreamOriginTable table = new StreamOriginTable();
+
+        @Test
+        void keepsTheLatestDispatchWhateverTheOrderOfArrival() {
+            table.record("a", SECOND, 0);
+            table.record("a", FIRST, 1);
+
+            assertThat(table.find("a")).isEqualTo(Optional.of(SECOND));
+        }
+
+        @Test
+        void forgetsOriginsAfterTheRetentionTime() {
+            table.record("a", FIRST, 0);
+            table.record("b", FIRST, StreamOriginTable.RETENTION_MS);
+
+            assertThat(table.find("a")).isEmpty();
+            assertThat(table.find("b")).isEqualTo(Optional.of(FIRST));
+        }
+
+        @Test
+        void isBounded() {
+            for (int stream = 0; stream <= StreamOriginTable.CAPACITY; stream++) {
+                table.record("attempt-" + stream, FIRST, 0);
+            }
+
+            assertThat(table.find("attempt-0")).isEmpty();
+            assertThat(table.find("attempt-1")).isEqualTo(Optional.of(FIRST));
+        }
+    }
+
+    @Nested
+    class Lookup {
+        private final OriginLookup lookup = new OriginLookup("engines");
+
+        private void add(Optional<StreamOrigin> origin, long observedMs, String... builds) {
+            lookup.add(new OriginLookup.Answer(origin, List.of(builds), observedMs));
+        }
+
+        @Test
+        void prefersARecordedOriginToTheBuildsThatServe() {
+            add(Optional.empty(), BuildHistory.WINDOW_MS, "v2");
+            add(Optional.of(FIRST), 0, "v2");
+            add(Optional.of(SECOND), 0, "v2");
+
+            assertThat(lookup.result()).isEqualTo(Optional.of(SECOND));
+        }
+
+        @Test
+        void assumesTheOnlyBuildThatServedLongerThanAnyStream() {
+            add(Optional.empty(), BuildHistory.WINDOW_MS, "v1");
+            add(Optional.empty(), 0, "v1");
+
+            assertThat(lookup.result()).isEqualTo(Optional.of(new StreamOrigin("engines", "v1", 0)));
+        }
+
+        @Test
+        void assumesNothingIfAnyGatewaySawAnotherBuild() {
+            add(Optional.empty(), BuildHistory.WINDOW_MS, "v1");
+            add(Optional.empty(), 0, "v1", "v2");
+
+            assertThat(lookup.result()).isEmpty();
+        }
+
+        @Test
+        void assumesNothingSoonAfterTheStartOfAllGateways() {
+            add(Optional.empty(), BuildHistory.WINDOW_MS - 1, "v1");
+
+            assertThat(lookup.result()).isEmpty();
+        }
+    }
+
+    @Nested
+    class History {
+        private final BuildHistory history = new BuildHistory();
+        private final EndpointDirectory directory = new EndpointDirectory();
+
+        private void list(String build, long nowMs) {
+            EndpointRecord record = new EndpointRecord("e", "engines", "10.0.0.1:80", "north", 8, false, 0, 1, build);
+            directory.replaceAll(List.of(record), nowMs);
+            history.observe(directory.allEndpoints(), nowMs);
+        }
+
+        @Test
+        void remembersBuildsThatAreNotListedAnyMore() {
+            list("v1", 0);
+            list("v2", 1);
+
+            assertThat(history.recentBuilds("engines")).containsExactly("v1", "v2");
+        }
+
+        @Test
+        void forgetsBuildsAfterTheWindow() {
+            list("v1", 0);
+            list("v2", BuildHistory.WINDOW_MS + 1);
+
+            assertThat(history.recentBuilds("engines")).containsExactly("v2");
+            assertThat(history.observedMs(BuildHistory.WINDOW_MS + 1)).isEqualTo(BuildHistory.WINDOW_MS + 1);
+        }
+    }
+}
--- a/model/src/main/java/org/pimentovale/error/ErrorCode.java
+++ b/model/src/main/java/org/pimentovale/error/ErrorCode.java
@@ -36,6 +36,7 @@
     ENDPOINT_REFUSED(503, true, "The endpoint refused the work."),
     ENDPOINT_FAILED(502, true, "The endpoint reported a failure."),
     RETRY_BUDGET_EXHAUSTED(503, true, "Too many requests are being retried; try again later."),
+    STREAM_ORIGIN_UNKNOWN(503, false, "The build that began the stream is unknown or gone; start the stream anew."),
     REQUEST_QUARANTINED(422, true, "Endpoints were lost while this request ran; it is not run again."),
     CALLER_LEFT(499, true, "The caller closed its connection."),
     UNAUTHORISED(401, false, "Send the key of this listener."),
