--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.pimentovale.gateway.caller.GatewayState;
 import org.pimentovale.gateway.caller.RequestServices;
 import org.pimentovale.gateway.endpoint.EndpointClient;
+import org.pimentovale.gateway.feed.ConfirmedStateClient;
 import org.pimentovale.gateway.feed.InstanceRegistration;
 import org.pimentovale.gateway.feed.StoreSynchronizer;
 import org.pimentovale.gateway.limit.RequestPermits;
@@ -129,7 +130,15 @@
         this.suspects = new SuspectTracker(vertx, tables, peerCalls, store);
         this.registration = new InstanceRegistration(vertx, store, state::draining);
         this.synchronizer = new StoreSynchronizer(
-                vertx, store, platform.objectReader(), tables, suspects, random, this::tablesChanged, registration);
+                vertx,
+                store,
+                platform.objectReader(),
+                tables,
+                suspects,
+                random,
+                this::tablesChanged,
+                registration,
+                new ConfirmedStateClient(tables.peers(), peerCalls));
         RequestServices services = new RequestServices(
                 vertx,
                 endpointClient,
@@ -154,8 +163,15 @@
                 "pimentovale_gateway_quarantined_keys",
                 "Requests and prompt parts that are not run because endpoints were lost while they ran them.",
                 suspects::quarantinedCount);
-        this.peerListener =
-                new PeerListener(tables, stageDispatchers, suspects, permits, origins, state::draining, clock.nowMs());
+        this.peerListener = new PeerListener(
+                tables,
+                stageDispatchers,
+                suspects,
+                permits,
+                origins,
+                synchronizer::confirmedState,
+                state::draining,
+                clock.nowMs());
     }
 
     private TimedHttpClient newTimedClient(boolean keepConnections, int connections, ErrorCode failureCode) {
--- a/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
@@ -20,7 +20,7 @@
  * The in-memory state of a gateway: the active configuration, endpoints, peers, and this gateway's share of the limits
  * that all gateways keep together.
  *
- * <p>Invariant: the configuration's revision never decreases within an era of the store. Not thread safe; used on one event loop, so no table
+ * <p>Not thread safe; used on one event loop, so no table
  * needs a lock.
  */
 public final class GatewayTables {
@@ -61,15 +61,15 @@
     }
 
     /**
-     * Activates a configuration if its revision is higher than that of the active one, or belongs to a later era of the
-     * store.
+     * Activates a configuration unless it is the active one. The caller has decided that it is not older, see
+     * {@link org.pimentovale.kernel.history.ObjectHistory}.
      *
      * @param next the configuration
      * @param revision the store's revision of the configuration
      * @return whether the configuration was activated
      */
-    public boolean applyIfNewer(ServingConfiguration next, StoreRevision revision) {
-        if (!configurationRevision.precedes(revision)) {
+    public boolean applyIfChanged(ServingConfiguration next, StoreRevision revision) {
+        if (configurationRevision.equals(revision)) {
             return false;
         }
         configurationRevision = revision;
@@ -107,13 +107,10 @@
     /**
      * Tells whether requests can be served.
      *
-     * @return whether the configuration, the endpoints, the withdrawn zones and the quarantined keys have been loaded
+     * @return whether a configuration is active and all kinds of objects have been listed
      */
     public boolean ready() {
-        return configuration.isPresent()
-                && listedKinds.contains(ObjectKind.ENDPOINTS)
-                && listedKinds.contains(ObjectKind.WITHDRAWN_ZONES)
-                && listedKinds.contains(ObjectKind.QUARANTINES);
+        return configuration.isPresent() && listedKinds.size() == ObjectKind.values().length;
     }
 
     /**
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -2,7 +2,10 @@
 
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
@@ -45,6 +48,7 @@
     private final MonotonicClock clock;
     private final LongConsumer eraListener;
     private final ObjectHistory history;
+    private final Map<String, ObjectEntry> entries = new HashMap<>();
     private long round;
     private boolean storeUnavailable;
     private int backoffMs = INITIAL_BACKOFF_MS;
@@ -177,7 +181,10 @@
                 verdict.retained(),
                 "reappeared",
                 verdict.reappeared());
-        listener.listed(select(listed, verdict.accepted()), verdict.retained());
+        List<ObjectEntry> accepted = select(listed, verdict.accepted());
+        entries.keySet().retainAll(verdict.retained());
+        accepted.forEach(entry -> entries.put(entry.name(), entry));
+        listener.listed(accepted, verdict.retained());
         select(listed, verdict.reappeared()).forEach(listener::reappeared);
         eraListener.accept(listed.revision().era());
     }
@@ -209,6 +216,66 @@
         }
     }
 
+    /**
+     * Returns the kind of the objects.
+     *
+     * @return the kind
+     */
+    ObjectKind kind() {
+        return kind;
+    }
+
+    /**
+     * Returns what was confirmed before the store was restored and is not written again yet.
+     *
+     * @return the objects, empty if the store was not restored lately
+     */
+    Optional<ConfirmedObjects> confirmed() {
+        if (!history.settling()) {
+            return Optional.empty();
+        }
+        List<ObjectEntry> present = history.unconfirmed().stream()
+                .map(write -> entries.get(write.name()))
+                .toList();
+        return Optional.of(new ConfirmedObjects(
+                kind, clock.nowMs() - history.restoreNoticedMs(), present, history.unconfirmedRemovals()));
+    }
+
+    /**
+     * Takes over what was confirmed to another gateway before the store was restored. Does nothing if this feed has not
+     * listed the restored store.
+     *
+     * @param confirmed the objects
+     */
+    void learn(ConfirmedObjects confirmed) {
+        if (!history.settling()) {
+            history.learnRestore(clock.nowMs() - confirmed.restoredAgoMs());
+        }
+        confirmed.present().stream()
+                .filter(entry -> history.learnPresent(entry.write()))
+                .forEach(this::change);
+        confirmed.removed().stream()
+                .filter(history::learnRemoval)
+                .map(write -> entries.remove(write.name()))
+                .forEach(listener::removed);
+        Events.info(
+                LOG,
+                "confirmed_objects_learned",
+                "kind",
+                kind,
+                "restored_ago_ms",
+                confirmed.restoredAgoMs(),
+                "present",
+                confirmed.present().size(),
+                "removed",
+                confirmed.removed().size());
+    }
+
+    private void change(ObjectEntry entry) {
+        entries.put(entry.name(), entry);
+        listener.changed(entry);
+    }
+
     private void watch() {
         if (stopped) {
             return;
@@ -265,9 +332,10 @@
                     "removed",
                     change.removed());
         } else if (change.removed()) {
+            entries.remove(entry.name());
             listener.removed(entry);
         } else {
-            listener.changed(entry);
+            change(entry);
         }
     }
 
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/QuarantineListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/QuarantineListener.java
@@ -4,9 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.jboss.logging.Logger;
-import org.pimentovale.gateway.GatewayTables;
 import org.pimentovale.gateway.port.ObjectEntry;
-import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectReader;
 import org.pimentovale.gateway.suspect.SuspectTracker;
 import org.pimentovale.kernel.quarantine.SuspectKey;
@@ -17,20 +15,20 @@
     private static final Logger LOG = Logger.getLogger(QuarantineListener.class);
 
     private final ObjectReader reader;
-    private final GatewayTables tables;
     private final SuspectTracker suspects;
+    private final Runnable onListed;
 
-    QuarantineListener(ObjectReader reader, GatewayTables tables, SuspectTracker suspects) {
+    QuarantineListener(ObjectReader reader, SuspectTracker suspects, Runnable onListed) {
         this.reader = reader;
-        this.tables = tables;
         this.suspects = suspects;
+        this.onListed = onListed;
     }
 
     @Override
     public void listed(List<ObjectEntry> entries, Set<String> retained) {
         suspects.storedKeysListed(
                 entries.stream().flatMap(entry -> decode(entry).stream()).toList());
-        tables.markListed(ObjectKind.QUARANTINES);
+        onListed.run();
     }
 
     @Override
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -50,6 +51,8 @@
     private final GatewayTables tables;
     private final Runnable endpointsChanged;
     private final InstanceRegistration ownInstance;
+    private final ConfirmedStateClient confirmedStates;
+    private final Set<ObjectKind> listedKinds = EnumSet.noneOf(ObjectKind.class);
     private final List<ObjectFeed> feeds = new ArrayList<>();
     private long expiryTimer = -1;
 
@@ -64,6 +67,7 @@
      * @param random adds jitter to the backoff, so that gateways do not retry at the same time
      * @param endpointsChanged called after endpoints, zones or the configuration changed
      * @param ownInstance keeps this gateway's object in the store
+     * @param confirmedStates asks peers what was confirmed before the store was restored
      */
     public StoreSynchronizer(
             Vertx vertx,
@@ -73,12 +77,14 @@
             SuspectTracker suspects,
             RandomGenerator random,
             Runnable endpointsChanged,
-            InstanceRegistration ownInstance) {
+            InstanceRegistration ownInstance,
+            ConfirmedStateClient confirmedStates) {
         this.vertx = vertx;
         this.reader = reader;
         this.tables = tables;
         this.endpointsChanged = endpointsChanged;
         this.ownInstance = ownInstance;
+        this.confirmedStates = confirmedStates;
         addFeed(
                 store,
                 random,
@@ -108,7 +114,7 @@
                 random,
                 ObjectKind.QUARANTINES,
                 new FeedTiming(QUARANTINES_WAIT_MS, () -> 0, RETENTION_MS),
-                new QuarantineListener(reader, tables, suspects));
+                new QuarantineListener(reader, suspects, () -> markListed(ObjectKind.QUARANTINES)));
     }
 
     private void addFeed(
@@ -116,6 +122,33 @@
         feeds.add(new ObjectFeed(vertx, store, kind, timing, listener, random, tables::nowMs, this::noteEra));
     }
 
+    /**
+     * Returns what this gateway knows beyond a restored store.
+     *
+     * @return the confirmed objects, none unless the store was restored lately
+     */
+    public ConfirmedState confirmedState() {
+        return new ConfirmedState(
+                feeds.stream().flatMap(feed -> feed.confirmed().stream()).toList());
+    }
+
+    /** Asks peers once, when all kinds that a peer may know better have been listed. */
+    private void markListed(ObjectKind kind) {
+        boolean added = listedKinds.add(kind);
+        if (added && listedKinds.size() == ObjectKind.values().length) {
+            confirmedStates.ask(this::learn).onComplete(asked -> {
+                listedKinds.forEach(tables::markListed);
+                endpointsChanged.run();
+            });
+        }
+    }
+
+    private void learn(ConfirmedState state) {
+        for (ConfirmedObjects confirmed : state.kinds()) {
+            feeds.stream().filter(feed -> feed.kind() == confirmed.kind()).forEach(feed -> feed.learn(confirmed));
+        }
+    }
+
     /** Tells all feeds of a restored store, since a watch may not end for a long time. */
     private void noteEra(long era) {
         feeds.forEach(feed -> feed.noteEra(era));
@@ -153,6 +186,7 @@
         @Override
         public void listed(List<ObjectEntry> entries, Set<String> retained) {
             entries.forEach(this::changed);
+            markListed(ObjectKind.CONFIGURATION);
         }
 
         @Override
@@ -162,7 +196,7 @@
             }
             try {
                 ServingConfiguration next = reader.configuration(entry.value());
-                if (tables.applyIfNewer(next, entry.revision())) {
+                if (tables.applyIfChanged(next, entry.revision())) {
                     Events.info(
                             LOG,
                             "configuration_in_force",
@@ -210,7 +244,7 @@
             List<EndpointRecord> records = new ArrayList<>();
             entries.forEach(entry -> decode(entry).ifPresent(records::add));
             tables.endpoints().replaceAll(records, retained, tables.nowMs());
-            tables.markListed(ObjectKind.ENDPOINTS);
+            markListed(ObjectKind.ENDPOINTS);
             endpointsChanged.run();
         }
 
@@ -277,7 +311,7 @@
         public void listed(List<ObjectEntry> entries, Set<String> retained) {
             zones.retainAll(retained);
             entries.forEach(entry -> zones.add(entry.name()));
-            tables.markListed(ObjectKind.WITHDRAWN_ZONES);
+            markListed(ObjectKind.WITHDRAWN_ZONES);
             apply(-1);
         }
 
@@ -314,6 +348,7 @@
             if (entries.stream().noneMatch(this::isOwn)) {
                 ownInstance.missing();
             }
+            markListed(ObjectKind.INSTANCES);
         }
 
         @Override
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
@@ -8,10 +8,12 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.gateway.GatewayTables;
+import org.pimentovale.gateway.feed.ConfirmedState;
 import org.pimentovale.gateway.limit.LiftedLimit;
 import org.pimentovale.gateway.limit.PermitRequest;
 import org.pimentovale.gateway.limit.RequestPermits;
@@ -42,6 +44,7 @@
     private final SuspectTracker suspects;
     private final RequestPermits permits;
     private final StreamOrigins origins;
+    private final Supplier<ConfirmedState> confirmedState;
     private final BooleanSupplier draining;
     private final long startedAtMs;
 
@@ -53,6 +56,7 @@
      * @param suspects receives reports on suspected requests
      * @param permits grants permits to peers
      * @param origins remembers where streams began
+     * @param confirmedState returns what this gateway knows beyond a restored store
      * @param draining returns whether this gateway is shutting down
      * @param startedAtMs time at which this gateway started, in milliseconds of the tables' clock
      */
@@ -62,6 +66,7 @@
             SuspectTracker suspects,
             RequestPermits permits,
             StreamOrigins origins,
+            Supplier<ConfirmedState> confirmedState,
             BooleanSupplier draining,
             long startedAtMs) {
         this.tables = tables;
@@ -69,6 +74,7 @@
         this.suspects = suspects;
         this.permits = permits;
         this.origins = origins;
+        this.confirmedState = confirmedState;
         this.draining = draining;
         this.startedAtMs = startedAtMs;
     }
@@ -90,6 +96,7 @@
                 http.body().onSuccess(body -> handleMessage(http, body, LossReport.class, suspects::handleLoss));
             case PeerPaths.PERMIT ->
                 http.body().onSuccess(body -> handleQuestion(http, body, PermitRequest.class, permits::handleRequest));
+            case PeerPaths.CONFIRMED -> sendResponse(http, Json.write(confirmedState.get()), STATUS_OK);
             case PeerPaths.STREAM_ORIGIN_LOOKUP ->
                 http.body().onSuccess(body -> handleQuestion(http, body, OriginQuestion.class, origins::answer));
             case PeerPaths.STREAM_ORIGIN ->
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerPaths.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerPaths.java
@@ -14,6 +14,8 @@
     public static final String PERMIT = "/permit";
     /** Announces that an endpoint names no rate limit any more. */
     public static final String LIMIT_LIFTED = "/limit-lifted";
+    /** Asks what was confirmed before the store was restored. */
+    public static final String CONFIRMED = "/confirmed-objects";
     /** Records where a stream begins. */
     public static final String STREAM_ORIGIN = "/stream-origin";
     /** Asks where a stream began. */
--- a/kernel/src/main/java/org/pimentovale/kernel/history/ObjectHistory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/history/ObjectHistory.java
@@ -1,5 +1,6 @@
 package org.pimentovale.kernel.history;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -78,6 +79,15 @@
         return Math.max(0, nextListAtMs - nowMs);
     }
 
+    /**
+     * Returns the time at which the last restore was noticed.
+     *
+     * @return the time in milliseconds, zero if there was none
+     */
+    public long restoreNoticedMs() {
+        return restoreNoticedMs;
+    }
+
     /**
      * Decides on a complete list, which must not precede {@link #revision}.
      *
@@ -205,6 +215,78 @@
         }
     }
 
+    /**
+     * Returns the objects that stay in force although the restored store does not confirm them yet.
+     *
+     * @return their last known writes, all of earlier eras
+     */
+    public List<ObjectWrite> unconfirmed() {
+        return settling ? ofEarlierEras(present.values()) : List.of();
+    }
+
+    /**
+     * Returns the objects that stay removed although the restored store may list them.
+     *
+     * @return their last known writes, all of earlier eras
+     */
+    public List<ObjectWrite> unconfirmedRemovals() {
+        return writersExpected ? ofEarlierEras(removed.values()) : List.of();
+    }
+
+    private List<ObjectWrite> ofEarlierEras(Collection<ObjectWrite> writes) {
+        return writes.stream().filter(this::isOfEarlierEra).toList();
+    }
+
+    /**
+     * Learns from another instance that the store was restored before this instance started.
+     *
+     * @param restoredMs the time at which the other instance noticed it, in milliseconds of this instance's clock
+     */
+    public void learnRestore(long restoredMs) {
+        settling = true;
+        writersExpected = true;
+        restoreNoticedMs = restoredMs;
+        nextListAtMs = restoredMs + SETTLING_MS;
+    }
+
+    /**
+     * Learns an object that was confirmed to another instance before the store was restored.
+     *
+     * @param write the last known write, of an earlier era
+     * @return whether it is in force here as well
+     */
+    public boolean learnPresent(ObjectWrite write) {
+        ObjectWrite known = present.get(write.name());
+        boolean newer = known == null
+                || (write.stamp().isPresent()
+                        && known.stamp().isPresent()
+                        && write.stamp().get().compareTo(known.stamp().get()) > 0);
+        if (!newer || !isOfEarlierEra(write)) {
+            return false;
+        }
+        recordPresent(write);
+        return true;
+    }
+
+    /**
+     * Learns a removal that was confirmed to another instance before the store was restored.
+     *
+     * @param removal the last known write of the removed object, of an earlier era
+     * @return whether the object is removed here as well
+     */
+    public boolean learnRemoval(ObjectWrite removal) {
+        if (!isOfEarlierEra(removal)) {
+            return false;
+        }
+        removed.put(removal.name(), removal);
+        ObjectWrite known = present.get(removal.name());
+        if (known == null || !staysRemoved(known)) {
+            return false;
+        }
+        present.remove(removal.name());
+        return true;
+    }
+
     private void recordPresent(ObjectWrite write) {
         ObjectWrite previous = present.get(write.name());
         Optional<WriteStamp> stamp =
