--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
@@ -101,7 +101,7 @@
 
     private void resume(ResumedStream stream) {
         new StreamResumption(services.origins(), candidates, log)
-                .restrict(stream)
+                .restrict(stream, request.routed().route())
                 .onSuccess(restricted -> run())
                 .onFailure(failure -> fail(ServingException.of(failure)));
     }
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/StreamResumption.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/StreamResumption.java
@@ -5,7 +5,10 @@
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.gateway.port.CallerAttempt.ResumedStream;
+import org.pimentovale.gateway.stream.OriginQuestion;
 import org.pimentovale.gateway.stream.StreamOrigins;
+import org.pimentovale.kernel.serving.ServingRoute;
+import org.pimentovale.kernel.stream.OriginLookup;
 import org.pimentovale.kernel.stream.StreamOrigin;
 
 /**
@@ -29,9 +32,11 @@
      * Restricts the candidates. Fails with {@link ErrorCode#STREAM_ORIGIN_UNKNOWN} and outcome "not run" if the stream
      * cannot go on.
      */
-    Future<Void> restrict(ResumedStream stream) {
+    Future<Void> restrict(ResumedStream stream, ServingRoute route) {
         String firstAttempt = stream.firstAttempt().orElse("");
-        return origins.find(firstAttempt, candidates.service().name()).compose(origin -> {
+        OriginQuestion question =
+                new OriginQuestion(firstAttempt, candidates.service().name(), OriginLookup.windowMs(route.timeoutMs()));
+        return origins.find(question).compose(origin -> {
             Optional<String> obstacle = restrictTo(firstAttempt, origin);
             log.info(
                     "stream_resumed",
--- a/gateway/src/main/java/org/pimentovale/gateway/stream/StreamOrigins.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stream/StreamOrigins.java
@@ -101,28 +101,28 @@
      * @return what this gateway knows
      */
     public OriginLookup.Answer answer(OriginQuestion question) {
+        long nowMs = tables.nowMs();
         return new OriginLookup.Answer(
                 origins.find(question.attempt()),
-                builds.recentBuilds(question.service()),
-                builds.observedMs(tables.nowMs()));
+                builds.recentBuilds(question.service(), nowMs - question.windowMs()),
+                builds.observedMs(nowMs));
     }
 
     /**
      * Finds out where a stream began.
      *
-     * @param attempt the identifier of the attempt that began it
-     * @param service the service to which the stream's route leads now
+     * @param question the attempt that began it, with the service of its route
      * @return the origin, empty if it is unknown; never fails
      */
-    public Future<Optional<StreamOrigin>> find(String attempt, String service) {
-        OriginQuestion question = new OriginQuestion(attempt, service);
+    public Future<Optional<StreamOrigin>> find(OriginQuestion question) {
         OriginLookup.Answer own = answer(question);
-        List<InstanceRecord> peers =
-                tables.peers().ranked(attempt).stream().limit(LOOKUP_PEERS).toList();
+        List<InstanceRecord> peers = tables.peers().ranked(question.attempt()).stream()
+                .limit(LOOKUP_PEERS)
+                .toList();
         if (own.origin().isPresent()) {
             return Future.succeededFuture(own.origin());
         }
-        OriginLookup lookup = new OriginLookup(service);
+        OriginLookup lookup = new OriginLookup(question.service(), question.windowMs());
         lookup.add(own);
         if (peers.isEmpty()) {
             return Future.succeededFuture(lookup.result());
--- a/kernel/src/main/java/org/pimentovale/kernel/stream/OriginLookup.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/stream/OriginLookup.java
@@ -12,7 +12,11 @@
  * them has observed the service for longer than a stream lasts. Not thread safe.
  */
 public final class OriginLookup {
+    private static final long MIN_WINDOW_MS = 10_000;
+    private static final int ROUTE_TIMEOUTS_PER_STREAM = 2;
+
     private final String service;
+    private final long windowMs;
     private final Set<String> builds = new HashSet<>();
     private Optional<StreamOrigin> recorded = Optional.empty();
     private long observedMs;
@@ -21,7 +25,7 @@
      * What one gateway knows of a stream.
      *
      * @param origin the recorded origin, empty if it is not known there
-     * @param recentBuilds the builds of the service that were listed there within {@link BuildHistory#WINDOW_MS}
+     * @param recentBuilds the builds of the service that were listed there within the time that a stream lasts
      * @param observedMs how long that gateway has observed the endpoints, in milliseconds
      */
     public record Answer(Optional<StreamOrigin> origin, List<String> recentBuilds, long observedMs) {
@@ -35,9 +39,22 @@
      * Creates a lookup without answers.
      *
      * @param service the service that runs the stream if no origin is recorded
+     * @param windowMs the longest time that a stream lasts, see {@link #windowMs(int)}
      */
-    public OriginLookup(String service) {
+    public OriginLookup(String service, long windowMs) {
         this.service = service;
+        this.windowMs = windowMs;
+    }
+
+    /**
+     * Returns the longest time between the beginning of a stream and the attempt that takes it up.
+     *
+     * @param routeTimeoutMs the timeout of the stream's route, in milliseconds
+     * @return milliseconds, more than the timeout since a caller may wait longer than the operator wants
+     */
+    public static long windowMs(int routeTimeoutMs) {
+        long windowMs = Math.max(MIN_WINDOW_MS, (long) ROUTE_TIMEOUTS_PER_STREAM * routeTimeoutMs);
+        return Math.min(BuildHistory.RETENTION_MS, windowMs);
     }
 
     /**
@@ -62,7 +79,7 @@
         if (recorded.isPresent()) {
             return recorded;
         }
-        boolean singleBuild = builds.size() == 1 && observedMs >= BuildHistory.WINDOW_MS;
+        boolean singleBuild = builds.size() == 1 && observedMs >= windowMs;
         return singleBuild
                 ? Optional.of(new StreamOrigin(service, builds.iterator().next(), 0))
                 : Optional.empty();
