--- a/daemon/src/main/java/org/pimentovale/daemon/MemberRegistration.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/MemberRegistration.java
@@ -20,8 +20,8 @@
 /**
  * Registers this instance in the store, reads the registrations of the others, and removes those of dead instances.
  *
- * <p>An instance writes its registration once at the start and deletes it at the end; there are no renewals. Thread
- * safe.
+ * <p>An instance writes its registration at the start, and again if it is missing in a list, as in a restored store. It
+ * deletes it at the end; there are no renewals. Thread safe.
  */
 final class MemberRegistration {
     private static final Logger LOG = Logger.getLogger(MemberRegistration.class);
@@ -98,6 +98,11 @@
             }
         }
         tables.members().setRegistered(registered, tables.clock().nowMs());
+        String self = tables.members().self().name();
+        if (!deregistering && objects.stream().noneMatch(object -> object.name().equals(self))) {
+            Events.warn(LOG, "member_registered_again", "member", self);
+            register();
+        }
         listCount++;
         if (listCount % LISTS_PER_REMOVAL == 0) {
             removeDeadMembers(objects);
