--- a/daemon/src/main/java/org/pimentovale/daemon/configuration/ConfigurationWatch.java
+++ b/daemon/src/main/java/org/pimentovale/daemon/configuration/ConfigurationWatch.java
@@ -2,12 +2,14 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.pimentovale.daemon.claim.StoreHealth;
 import org.pimentovale.daemon.metric.DaemonMetrics;
 import org.pimentovale.error.ServingException;
+import org.pimentovale.json.Json;
 import org.pimentovale.kernel.ServingTables;
 import org.pimentovale.log.Events;
 import org.pimentovale.store.ObjectStore;
@@ -20,7 +22,8 @@
  *
  * <p>A watch delivers them immediately. Because a watch may stop reporting, the configuration is also read
  * periodically, at a rate that is bounded over all instances; the first instance that reads a change notifies the
- * others. Invariant: a value that cannot be parsed changes nothing. Thread safe.
+ * others. A store that was restored from a backup may hold an older configuration than the active one, or none; it is
+ * written again. Invariant: a value that cannot be parsed changes nothing. Thread safe.
  */
 public final class ConfigurationWatch {
     private static final Logger LOG = Logger.getLogger(ConfigurationWatch.class);
@@ -37,7 +40,7 @@
     private final DaemonMetrics metrics;
     private final RandomGenerator random;
     private volatile long storedVersion;
-    private volatile long damagedVersion;
+    private volatile byte[] damagedValue = {};
 
     /**
      * Creates a watch that is not started.
@@ -92,7 +95,7 @@
                 health.track(store.read(ConfigurationEditor.KIND, ConfigurationEditor.NAME));
         return stored.<Void>transform(result -> {
             if (result.succeeded()) {
-                result.result().ifPresent(this::apply);
+                result.result().ifPresentOrElse(this::apply, this::writeAgainIfMissing);
             } else {
                 metrics.recordStoreFailure("read");
             }
@@ -105,18 +108,20 @@
     }
 
     private void apply(StoredObject stored) {
-        if (stored.version() == damagedVersion) {
+        // A restored store assigns versions again, so the version of a damaged value may later be that of a good one.
+        if (Arrays.equals(stored.value(), damagedValue)) {
             return;
         }
+        storedVersion = stored.version();
         try {
             Configuration configuration = Configuration.parse(stored.value());
-            storedVersion = Math.max(storedVersion, stored.version());
             if (tables.configuration().offer(configuration)) {
                 Events.info(LOG, "configuration_in_force", "revision", configuration.revision(), "source", "store");
+            } else if (configuration.revision() < tables.configuration().revision()) {
+                writeAgain(stored, configuration.revision());
             }
         } catch (ServingException damaged) {
-            damagedVersion = stored.version();
-            storedVersion = Math.max(storedVersion, stored.version());
+            damagedValue = stored.value();
             metrics.recordStoreFailure("damaged");
             Events.warn(
                     LOG,
@@ -130,6 +135,32 @@
         }
     }
 
+    /** Replaces an older configuration in a restored store, unless the read was stale and the version has changed. */
+    private void writeAgain(StoredObject stored, long storedRevision) {
+        tables.configuration().active().ifPresent(active -> {
+            Events.warn(
+                    LOG,
+                    "configuration_written_again",
+                    "revision",
+                    active.revision(),
+                    "stored_revision",
+                    storedRevision,
+                    "version",
+                    stored.version());
+            health.track(store.update(
+                            ConfigurationEditor.KIND, ConfigurationEditor.NAME, stored.version(), Json.write(active)))
+                    .onFailure(failure -> metrics.recordStoreFailure("write_again"));
+        });
+    }
+
+    private void writeAgainIfMissing() {
+        tables.configuration().active().ifPresent(active -> {
+            Events.warn(LOG, "configuration_written_again", "revision", active.revision(), "stored_revision", "none");
+            health.track(store.create(ConfigurationEditor.KIND, ConfigurationEditor.NAME, Json.write(active)))
+                    .onFailure(failure -> metrics.recordStoreFailure("write_again"));
+        });
+    }
+
     /**
      * Stores an initial configuration, unless a configuration is active or stored already.
      *
--- /dev/null
+++ b/daemon/src/test/java/org/pimentovale/daemon/configuration/ConfigurationWatchTest.java
@@ -0,0 +1,162 @@
+package org.pimentovale.daemon.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pimentovale.daemon.claim.StoreHealth;
+import org.pimentovale.daemon.metric.DaemonMetrics;
+import org.pimentovale.json.Json;
+import org.pimentovale.kernel.ServingTables;
+import org.pimentovale.kernel.membership.Member;
+import org.pimentovale.kernel.membership.MemberTable;
+import org.pimentovale.kernel.routing.LeastInFlightPolicy;
+import org.pimentovale.store.EmbeddedPlatform;
+import org.pimentovale.store.InMemoryObjectTable;
+import org.pimentovale.store.ObjectStore;
+import org.pimentovale.store.StoredObject;
+import org.pimentovale.store.WriteResult;
+import org.pimentovale.store.change.ConfigurationEditor;
+import org.pimentovale.table.Configuration;
+import org.pimentovale.table.Tables;
+
+class ConfigurationWatchTest {
+    private static final Configuration FIRST = Configuration.NONE.next("first", Tables.EMPTY, List.of());
+    private static final Configuration SECOND = FIRST.next("second", Tables.EMPTY, List.of());
+    private static final byte[] DAMAGED = "damaged".getBytes(StandardCharsets.UTF_8);
+
+    private final Vertx vertx = Vertx.vertx();
+    private final DaemonMetrics metrics = new DaemonMetrics();
+    private final RestorableStore store = new RestorableStore(vertx);
+    private final ServingTables tables = new ServingTables(
+            () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+            number -> new SplittableRandom(number),
+            new LeastInFlightPolicy(),
+            new MemberTable(new Member("entry-0", "zone-a", "", "")),
+            100);
+
+    /** A store whose content can be replaced by that of another history, in which versions start anew. */
+    private static final class RestorableStore implements ObjectStore {
+        private final Vertx vertx;
+        private volatile ObjectStore current;
+
+        private RestorableStore(Vertx vertx) {
+            this.vertx = vertx;
+            this.current = new EmbeddedPlatform(vertx, new InMemoryObjectTable());
+        }
+
+        private void restore(byte[]... values) {
+            InMemoryObjectTable table = new InMemoryObjectTable();
+            long version = 0;
+            for (byte[] value : values) {
+                table.write(ConfigurationEditor.KIND, ConfigurationEditor.NAME, version, value);
+                version++;
+            }
+            current = new EmbeddedPlatform(vertx, table);
+        }
+
+        private long storedRevision() {
+            return current.read(ConfigurationEditor.KIND, ConfigurationEditor.NAME)
+                    .result()
+                    .map(object -> Configuration.parse(object.value()).revision())
+                    .orElse(0L);
+        }
+
+        @Override
+        public Future<Optional<StoredObject>> read(String kind, String name) {
+            return current.read(kind, name);
+        }
+
+        @Override
+        public Future<List<StoredObject>> list(String kind) {
+            return current.list(kind);
+        }
+
+        @Override
+        public Future<WriteResult> create(String kind, String name, byte[] value) {
+            return current.create(kind, name, value);
+        }
+
+        @Override
+        public Future<WriteResult> update(String kind, String name, long version, byte[] value) {
+            return current.update(kind, name, version, value);
+        }
+
+        @Override
+        public Future<Boolean> delete(String kind, String name, long version) {
+            return current.delete(kind, name, version);
+        }
+
+        @Override
+        public Future<Optional<StoredObject>> awaitChange(String kind, String name, long knownVersion, int waitMs) {
+            return current.awaitChange(kind, name, knownVersion, waitMs);
+        }
+    }
+
+    private static void awaitUntil(BooleanSupplier condition) throws InterruptedException {
+        long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).isLessThan(deadlineNs);
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+    }
+
+    @BeforeEach
+    void start() {
+        store.restore(Json.write(FIRST), Json.write(SECOND));
+        ConfigurationWatch watch =
+                new ConfigurationWatch(vertx, store, new StoreHealth(tables.clock()), tables, metrics, new Random(1));
+        vertx.runOnContext(run -> watch.start());
+    }
+
+    @AfterEach
+    void close() {
+        vertx.close();
+    }
+
+    @Nested
+    class AfterARestore {
+        @BeforeEach
+        void confirmSecond() throws InterruptedException {
+            awaitUntil(() -> tables.configuration().revision() == SECOND.revision());
+        }
+
+        @Test
+        void theActiveConfigurationIsWrittenAgain() throws InterruptedException {
+            store.restore(Json.write(FIRST));
+
+            awaitUntil(() -> store.storedRevision() == SECOND.revision());
+
+            assertThat(tables.configuration().revision()).isEqualTo(SECOND.revision());
+        }
+
+        @Test
+        void aMissingConfigurationIsWrittenAgain() throws InterruptedException {
+            store.restore();
+
+            awaitUntil(() -> store.storedRevision() == SECOND.revision());
+        }
+
+        @Test
+        void aGoodValueWithTheVersionOfADamagedOneTakesEffect() throws InterruptedException {
+            Configuration third = SECOND.next("third", Tables.EMPTY, List.of());
+            store.restore(Json.write(FIRST), Json.write(SECOND), DAMAGED);
+            awaitUntil(() -> new String(metrics.render(), StandardCharsets.UTF_8).contains("damaged"));
+
+            store.restore(Json.write(FIRST), Json.write(SECOND), Json.write(third));
+
+            awaitUntil(() -> tables.configuration().revision() == third.revision());
+        }
+    }
+}
