--- /dev/null
+++ b/daemon/src/test/java/org/pimentovale/daemon/RestorableStore.java
@@ -0,0 +1,58 @@
+package org.pimentovale.daemon;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.Optional;
+import org.pimentovale.store.EmbeddedPlatform;
+import org.pimentovale.store.InMemoryObjectTable;
+import org.pimentovale.store.ObjectStore;
+import org.pimentovale.store.StoredObject;
+import org.pimentovale.store.WriteResult;
+
+/** A store whose content can be replaced by that of another history, in which versions start anew. Thread safe. */
+public final class RestorableStore implements ObjectStore {
+    private final Vertx vertx;
+    private volatile ObjectStore current;
+
+    /** Creates an empty store. */
+    public RestorableStore(Vertx vertx) {
+        this.vertx = vertx;
+        this.current = new EmbeddedPlatform(vertx, new InMemoryObjectTable());
+    }
+
+    /** Replaces the content. */
+    public void restore(InMemoryObjectTable table) {
+        current = new EmbeddedPlatform(vertx, table);
+    }
+
+    @Override
+    public Future<Optional<StoredObject>> read(String kind, String name) {
+        return current.read(kind, name);
+    }
+
+    @Override
+    public Future<List<StoredObject>> list(String kind) {
+        return current.list(kind);
+    }
+
+    @Override
+    public Future<WriteResult> create(String kind, String name, byte[] value) {
+        return current.create(kind, name, value);
+    }
+
+    @Override
+    public Future<WriteResult> update(String kind, String name, long version, byte[] value) {
+        return current.update(kind, name, version, value);
+    }
+
+    @Override
+    public Future<Boolean> delete(String kind, String name, long version) {
+        return current.delete(kind, name, version);
+    }
+
+    @Override
+    public Future<Optional<StoredObject>> awaitChange(String kind, String name, long knownVersion, int waitMs) {
+        return current.awaitChange(kind, name, knownVersion, waitMs);
+    }
+}
--- a/daemon/src/test/java/org/pimentovale/daemon/configuration/ConfigurationWatchTest.java
+++ b/daemon/src/test/java/org/pimentovale/daemon/configuration/ConfigurationWatchTest.java
@@ -2,11 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Optional;
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +13,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.pimentovale.daemon.RestorableStore;
 import org.pimentovale.daemon.claim.StoreHealth;
 import org.pimentovale.daemon.metric.DaemonMetrics;
 import org.pimentovale.json.Json;
@@ -22,11 +21,7 @@
 import org.pimentovale.kernel.membership.Member;
 import org.pimentovale.kernel.membership.MemberTable;
 import org.pimentovale.kernel.routing.LeastInFlightPolicy;
-import org.pimentovale.store.EmbeddedPlatform;
 import org.pimentovale.store.InMemoryObjectTable;
-import org.pimentovale.store.ObjectStore;
-import org.pimentovale.store.StoredObject;
-import org.pimentovale.store.WriteResult;
 import org.pimentovale.store.change.ConfigurationEditor;
 import org.pimentovale.table.Configuration;
 import org.pimentovale.table.Tables;
@@ -46,62 +41,21 @@
             new MemberTable(new Member("entry-0", "zone-a", "", "")),
             100);
 
-    /** A store whose content can be replaced by that of another history, in which versions start anew. */
-    private static final class RestorableStore implements ObjectStore {
-        private final Vertx vertx;
-        private volatile ObjectStore current;
-
-        private RestorableStore(Vertx vertx) {
-            this.vertx = vertx;
-            this.current = new EmbeddedPlatform(vertx, new InMemoryObjectTable());
-        }
-
-        private void restore(byte[]... values) {
-            InMemoryObjectTable table = new InMemoryObjectTable();
-            long version = 0;
-            for (byte[] value : values) {
-                table.write(ConfigurationEditor.KIND, ConfigurationEditor.NAME, version, value);
-                version++;
-            }
-            current = new EmbeddedPlatform(vertx, table);
-        }
-
-        private long storedRevision() {
-            return current.read(ConfigurationEditor.KIND, ConfigurationEditor.NAME)
-                    .result()
-                    .map(object -> Configuration.parse(object.value()).revision())
-                    .orElse(0L);
-        }
-
-        @Override
-        public Future<Optional<StoredObject>> read(String kind, String name) {
-            return current.read(kind, name);
-        }
-
-        @Override
-        public Future<List<StoredObject>> list(String kind) {
-            return current.list(kind);
-        }
-
-        @Override
-        public Future<WriteResult> create(String kind, String name, byte[] value) {
-            return current.create(kind, name, value);
-        }
-
-        @Override
-        public Future<WriteResult> update(String kind, String name, long version, byte[] value) {
-            return current.update(kind, name, version, value);
-        }
-
-        @Override
-        public Future<Boolean> delete(String kind, String name, long version) {
-            return current.delete(kind, name, version);
+    private void restore(byte[]... values) {
+        InMemoryObjectTable table = new InMemoryObjectTable();
+        long version = 0;
+        for (byte[] value : values) {
+            table.write(ConfigurationEditor.KIND, ConfigurationEditor.NAME, version, value);
+            version++;
         }
+        store.restore(table);
+    }
 
-        @Override
-        public Future<Optional<StoredObject>> awaitChange(String kind, String name, long knownVersion, int waitMs) {
-            return current.awaitChange(kind, name, knownVersion, waitMs);
-        }
+    private long storedRevision() {
+        return store.read(ConfigurationEditor.KIND, ConfigurationEditor.NAME)
+                .result()
+                .map(object -> Configuration.parse(object.value()).revision())
+                .orElse(0L);
     }
 
     private static void awaitUntil(BooleanSupplier condition) throws InterruptedException {
@@ -114,7 +68,7 @@
 
     @BeforeEach
     void start() {
-        store.restore(Json.write(FIRST), Json.write(SECOND));
+        restore(Json.write(FIRST), Json.write(SECOND));
         ConfigurationWatch watch =
                 new ConfigurationWatch(vertx, store, new StoreHealth(tables.clock()), tables, metrics, new Random(1));
         vertx.runOnContext(run -> watch.start());
@@ -134,27 +88,27 @@
 
         @Test
         void theActiveConfigurationIsWrittenAgain() throws InterruptedException {
-            store.restore(Json.write(FIRST));
+            restore(Json.write(FIRST));
 
-            awaitUntil(() -> store.storedRevision() == SECOND.revision());
+            awaitUntil(() -> storedRevision() == SECOND.revision());
 
             assertThat(tables.configuration().revision()).isEqualTo(SECOND.revision());
         }
 
         @Test
         void aMissingConfigurationIsWrittenAgain() throws InterruptedException {
-            store.restore();
+            restore();
 
-            awaitUntil(() -> store.storedRevision() == SECOND.revision());
+            awaitUntil(() -> storedRevision() == SECOND.revision());
         }
 
         @Test
         void aGoodValueWithTheVersionOfADamagedOneTakesEffect() throws InterruptedException {
             Configuration third = SECOND.next("third", Tables.EMPTY, List.of());
-            store.restore(Json.write(FIRST), Json.write(SECOND), DAMAGED);
+            restore(Json.write(FIRST), Json.write(SECOND), DAMAGED);
             awaitUntil(() -> new String(metrics.render(), StandardCharsets.UTF_8).contains("damaged"));
 
-            store.restore(Json.write(FIRST), Json.write(SECOND), Json.write(third));
+            restore(Json.write(FIRST), Json.write(SECOND), Json.write(third));
 
             awaitUntil(() -> tables.configuration().revision() == third.revision());
         }
