--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -29,10 +29,11 @@
  * the changes.
  *
  * <p>A watch request that ends without a response indicates a dead connection or an unavailable store; the next request
- * uses a new connection and continues after the last revision. When the store was restored from a backup, its kind is
- * listed, and listed again once the writers had time to write again. Invariant: within an era, the listener never receives
- * a revision older than one it has received; of an earlier era it receives nothing. Not thread safe; used on one event
- * loop.
+ * uses a new connection and continues after the last revision. When the store was restored from a backup, the kind is
+ * listed, and listed again once the writers had time to write again.
+ *
+ * <p>Invariant: within an era, the listener never receives a revision older than one it has received; of an earlier era
+ * it receives nothing. Not thread safe; used on one event loop.
  */
 public final class ObjectFeed {
     private static final Logger LOG = Logger.getLogger(ObjectFeed.class);
--- a/gateway/src/main/java/org/pimentovale/gateway/suspect/SuspectTracker.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/suspect/SuspectTracker.java
@@ -205,8 +205,8 @@
     }
 
     /**
-     * Removes a key from the store again, if this gateway owns it. A restored store lists it although its quarantine has
-     * ended.
+     * Removes a key from the store again, if this gateway owns it. A restored store lists it although its quarantine
+     * has ended.
      *
      * @param key the key
      */
--- a/kernel/src/main/java/org/pimentovale/kernel/history/ObjectHistory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/history/ObjectHistory.java
@@ -162,7 +162,10 @@
                 && isOlder(write.stamp().get(), known.stamp().get());
     }
 
-    /** Compares stamps; those of different incarnations only soon after a restore, as a writer's clock may have been set back. */
+    /**
+     * Compares stamps; those of different incarnations only soon after a restore, as a writer's clock may have been set
+     * back.
+     */
     private boolean isOlder(WriteStamp stamp, WriteStamp known) {
         boolean comparable = writersExpected || stamp.incarnation() == known.incarnation();
         return comparable && stamp.compareTo(known) < 0;
--- a/kernel/src/main/java/org/pimentovale/kernel/stream/StreamOriginTable.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/stream/StreamOriginTable.java
@@ -12,7 +12,7 @@
  * used on one event loop.
  */
 public final class StreamOriginTable {
-    /** How long an origin is kept, in milliseconds; longer than a caller waits for a stream over all of its attempts. */
+    /** How long an origin is kept, in milliseconds; longer than a caller waits for a stream over all attempts. */
     public static final long RETENTION_MS = 60_000;
 
     /** The maximum number of origins. */
--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
@@ -19,7 +19,8 @@
 /**
  * Stand-in for the platform's store: named objects by kind, one revision for the whole store, lists and watches.
  *
- * <p>Invariant: within an era the revision increases with each change. Thread safe; it takes no other lock while it holds its own.
+ * <p>Invariant: within an era the revision increases with each change.
+ * Thread safe; it takes no other lock while it holds its own.
  */
 public final class FleetStoreStandIn {
     private static final int PAGE_SIZE = 50;
