--- a/gateway/src/main/java/org/pimentovale/gateway/feed/InstanceRegistration.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/InstanceRegistration.java
@@ -63,24 +63,31 @@
         }
         writing = true;
         lostWhileWriting = false;
-        store.register(record)
-                .onSuccess(done -> {
-                    writing = false;
-                    // The store may have been restored between the write and the list without the object.
-                    if (lostWhileWriting) {
-                        write(record);
-                    }
-                })
-                .onFailure(failure -> {
-                    Events.warn(LOG, "register_failed", "failure", failure.getMessage());
-                    vertx.setTimer(RETRY_DELAY_MS, fired -> write(record));
-                });
+        store.register(record).onSuccess(done -> handleWritten(record)).onFailure(failure -> {
+            Events.warn(LOG, "register_failed", "failure", failure.getMessage());
+            vertx.setTimer(RETRY_DELAY_MS, fired -> write(record));
+        });
+    }
+
+    private void handleWritten(InstanceRecord record) {
+        writing = false;
+        if (draining.getAsBoolean()) {
+            // The write may have taken effect after the removal.
+            remove(record);
+        } else if (lostWhileWriting) {
+            // The store may have been restored between the write and the list without the object.
+            write(record);
+        }
     }
 
     /** Removes the object of this gateway, which shuts down. */
     public void deregister() {
-        self.ifPresent(record -> store.deregister(record.name())
-                .onFailure(failure -> Events.warn(LOG, "deregister_failed", "failure", failure.getMessage())));
+        self.ifPresent(this::remove);
+    }
+
+    private void remove(InstanceRecord record) {
+        store.deregister(record.name())
+                .onFailure(failure -> Events.warn(LOG, "deregister_failed", "failure", failure.getMessage()));
     }
 
     /**
