--- a/kernel/src/test/java/org/pimentovale/kernel/history/ObjectHistoryTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/history/ObjectHistoryTest.java
@@ -194,4 +194,48 @@
             assertThat(verdict.accepted()).containsExactly("stamped", "plain");
         }
     }
+
+    @Nested
+    class LearnedFromAnotherInstance {
+        private static final long STARTED_MS = 11_000;
+
+        @BeforeEach
+        void startAfterTheRestore() {
+            list(2, 26, STARTED_MS, stamped(2, 20, 5, 7), plain(2, 25));
+            history.learnRestore(RESTORED_MS);
+        }
+
+        @Test
+        void aNewerWriteIsInForceUntilItIsWrittenAgain() {
+            assertThat(history.learnPresent(stamped(1, 31, 5, 9))).isTrue();
+
+            assertThat(history.acceptChange(stamped(2, 27, 5, 8))).isFalse();
+            assertThat(history.acceptChange(stamped(2, 28, 5, 9))).isTrue();
+        }
+
+        @Test
+        void anOlderWriteIsIgnored() {
+            assertThat(history.learnPresent(stamped(1, 31, 5, 6))).isFalse();
+        }
+
+        @Test
+        void aWriteOfTheCurrentEraIsIgnored() {
+            assertThat(history.learnPresent(stamped(2, 31, 5, 9))).isFalse();
+        }
+
+        @Test
+        void aRemovalIsInForceUnlessWrittenAgain() {
+            assertThat(history.learnRemoval(stamped(1, 31, 5, 9))).isTrue();
+            assertThat(history.learnRemoval(plain(1, 24))).isFalse();
+
+            assertThat(list(2, 27, STARTED_MS, stamped(2, 20, 5, 7), plain(2, 25))
+                            .reappeared())
+                    .containsExactly("stamped");
+        }
+
+        @Test
+        void areListedAgainWhenTheSettlingTimeOfTheOtherInstanceIsOver() {
+            assertThat(history.nextListMs(STARTED_MS)).isEqualTo(RESTORED_MS + ObjectHistory.SETTLING_MS - STARTED_MS);
+        }
+    }
 }
