Endpoints that leave or refuse with a delay say so in their answers

Cause: an endpoint that answered with the header of a leaving one went on getting requests until the store listed it as draining, and not at all while the gateway was cut off; one that refused with 503 and a delay was asked again by the next request.

Change: the directory keeps what an incarnation (id, address, start) said of itself, beside its entry: it outlasts the entry's removal and older entries and ends with a later incarnation. EndpointAdmission decides for all senders whether an endpoint may get a request now and names the reason. After a delay, concurrent requests return step by step. Stage queues count the delay as a wait. Releases to a leaving endpoint are dropped, those to a refusing one come later. All responses pass one observer, also those nobody waits for. A slow call is given up only if another endpoint may get the request now.

Released results were counted as released whatever the answer said; only 200 counts now.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -23,6 +23,7 @@
 import org.pimentovale.gateway.caller.GatewayState;
 import org.pimentovale.gateway.caller.RequestServices;
 import org.pimentovale.gateway.endpoint.EndpointClient;
+import org.pimentovale.gateway.endpoint.EndpointResponseObserver;
 import org.pimentovale.gateway.feed.ConfirmedStateClient;
 import org.pimentovale.gateway.feed.InstanceRegistration;
 import org.pimentovale.gateway.feed.RejectedObjects;
@@ -125,8 +126,16 @@
                 newTimedClient(true, MAX_RELEASE_CONNECTIONS_PER_HOST, ErrorCode.CONNECTION_LOST);
         TimedHttpClient peerCalls = newTimedClient(true, MAX_CONNECTIONS_PER_HOST, ErrorCode.PEER_UNAVAILABLE);
         RequestPermits permits = new RequestPermits(tables, peerCalls);
+        EndpointResponseObserver observer = new EndpointResponseObserver(tables, permits, metrics);
         StageEndpointClient stageEndpointClient = new StageEndpointClient(
-                vertx, endpointCalls, releaseCalls, tables, permits, platform.stageCodec(), platform.endpointCodec());
+                vertx,
+                endpointCalls,
+                releaseCalls,
+                tables,
+                permits,
+                observer,
+                platform.stageCodec(),
+                platform.endpointCodec());
         this.stageDispatchers = new StageDispatchers(
                 service -> new StageDispatcher(vertx, tables, stageEndpointClient, permits, metrics, service));
         this.stageClient = new StageClient(tables, peerCalls, stageDispatchers);
@@ -149,6 +158,7 @@
         RequestServices services = new RequestServices(
                 vertx,
                 endpointClient,
+                observer,
                 platform.endpointCodec(),
                 stageClient,
                 suspects,
--- a/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
@@ -8,6 +8,7 @@
 import org.pimentovale.gateway.peer.PeerTable;
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.settings.GatewaySettings.RetryBudgetSettings;
+import org.pimentovale.kernel.directory.EndpointAdmission;
 import org.pimentovale.kernel.directory.EndpointDirectory;
 import org.pimentovale.kernel.endpoint.ColdEndpointRateLimiter;
 import org.pimentovale.kernel.history.StoreRevision;
@@ -30,6 +31,7 @@
     private final EndpointDirectory endpoints = new EndpointDirectory();
     private final PeerTable peers;
     private final ColdEndpointRateLimiter coldEndpointLimiter;
+    private final EndpointAdmission admission;
     private final DurationEstimates firstEventEstimates = new DurationEstimates(INITIAL_FIRST_EVENT_ESTIMATE_MS);
     private final RetryBudgetSettings retryBudgetSettings;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
@@ -49,6 +51,7 @@
         this.peers = peers;
         this.retryBudgetSettings = retryBudgetSettings;
         this.coldEndpointLimiter = new ColdEndpointRateLimiter(peers.self().name());
+        this.admission = new EndpointAdmission(endpoints, coldEndpointLimiter);
     }
 
     /**
@@ -95,6 +98,15 @@
         return endpoints;
     }
 
+    /**
+     * Returns the decision whether an endpoint may get a request now.
+     *
+     * @return the decision on this gateway's endpoints
+     */
+    public EndpointAdmission admission() {
+        return admission;
+    }
+
     /**
      * Records that all objects of a kind have been listed.
      *
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/EndpointCandidates.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/EndpointCandidates.java
@@ -1,14 +1,20 @@
 package org.pimentovale.gateway.caller;
 
+import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.pimentovale.gateway.GatewayTables;
+import org.pimentovale.kernel.directory.Availability;
 import org.pimentovale.kernel.directory.EndpointState;
+import org.pimentovale.kernel.directory.EndpointWait;
 import org.pimentovale.kernel.placement.EndpointChooser;
 import org.pimentovale.kernel.placement.PromptPart;
+import org.pimentovale.kernel.serving.ServingRoute;
 import org.pimentovale.kernel.serving.ServingService;
 import org.pimentovale.kernel.stream.StreamOrigin;
 
@@ -69,50 +75,77 @@
 
     /** Chooses the best endpoint that may receive the request now, empty if there is none. */
     Optional<EndpointState> choose(long nowMs) {
-        List<EndpointState> usable =
-                usable().filter(endpoint -> mayReceive(endpoint, nowMs)).toList();
+        List<EndpointState> available = usable().filter(
+                        endpoint -> availability(endpoint, nowMs) == Availability.AVAILABLE)
+                .toList();
         return EndpointChooser.choose(
-                usable,
+                available,
                 tried,
                 request.attempt().sharedPrefix().map(PromptPart::identifier),
                 tables.peers().self().zone(),
                 nowMs);
     }
 
-    private boolean mayReceive(EndpointState endpoint, long nowMs) {
-        return endpoint.withheldMs(nowMs) == 0 && isWithinColdLimit(endpoint, nowMs);
+    private Availability availability(EndpointState endpoint, long nowMs) {
+        return tables.admission()
+                .check(endpoint, service.coldRequestsPerSecond(), tables.peers().names(), nowMs);
     }
 
-    /** Tells whether an endpoint that was chosen before, and for which a permit was granted, is usable. */
-    boolean isStillUsable(EndpointState endpoint, long nowMs) {
-        return tables.endpoints().isUsable(endpoint) && isOfBuild(endpoint) && isWithinColdLimit(endpoint, nowMs);
-    }
-
-    private boolean isWithinColdLimit(EndpointState endpoint, long nowMs) {
-        return !endpoint.cold(nowMs)
-                || service.coldRequestsPerSecond() <= 0
-                || tables.coldEndpointLimiter()
-                        .maySend(
-                                endpoint.latest().identifier(),
-                                service.coldRequestsPerSecond(),
-                                tables.peers().names(),
-                                nowMs);
+    /** Tells whether an endpoint that was chosen before, and for which a permit was granted, may get the request. */
+    boolean isStillAvailable(EndpointState endpoint, long nowMs) {
+        Availability availability = availability(endpoint, nowMs);
+        boolean permitted = availability == Availability.AVAILABLE || availability == Availability.RATE_LIMITED;
+        return permitted && isOfBuild(endpoint);
     }
 
     /** Returns the shortest time after which an endpoint that is at its rate limit may be usable, zero if none is. */
-    long withheldMs(long nowMs) {
+    private long withheldMs(long nowMs) {
         return usable().mapToLong(endpoint -> endpoint.withheldMs(nowMs))
                 .filter(waitMs -> waitMs > 0)
                 .min()
                 .orElse(0);
     }
 
+    /** Decides whether the request waits for an endpoint, since none may get it now. */
+    EndpointWait decideWait(long waitedMs, long nowMs) {
+        ServingRoute route = request.routed().route();
+        double expectedMs = request.isStream() ? tables.firstEventEstimates().expectedMs(route.name()) : 0;
+        return EndpointWait.decide(
+                returnMs(nowMs), withheldMs(nowMs), waitedMs, route.goalMs(), request.deadlineMs() - nowMs, expectedMs);
+    }
+
+    /** Returns the shortest time after which an endpoint that refused a request with a delay may get one again. */
+    private OptionalLong returnMs(long nowMs) {
+        return usable().filter(this::isUntried)
+                .flatMapToLong(endpoint -> tables.endpoints().returnMs(endpoint, nowMs).stream())
+                .min();
+    }
+
+    /** Describes why no endpoint of the service gets the request, with the number of endpoints for each reason. */
+    String unavailability(long nowMs) {
+        Map<Availability, Integer> counts = new EnumMap<>(Availability.class);
+        tables.endpoints().ofService(service.name()).stream()
+                .filter(this::isOfBuild)
+                .forEach(endpoint -> counts.merge(availability(endpoint, nowMs), 1, Integer::sum));
+        return "no available endpoint of service " + service.name() + ", endpoints by state: " + counts;
+    }
+
     void markTried(String identifier) {
         tried.add(identifier);
     }
 
-    /** Tells whether there is a usable endpoint to which the request has not been sent. */
-    boolean hasUntried() {
-        return usable().anyMatch(endpoint -> !tried.contains(endpoint.latest().identifier()));
+    /** Allows that the request is sent again to an endpoint that has not run it and named a delay. */
+    void markUntried(String identifier) {
+        tried.remove(identifier);
+    }
+
+    /** Tells whether another endpoint, to which the request has not been sent, may get it now. */
+    boolean hasUntried(long nowMs) {
+        return usable().filter(this::isUntried)
+                .anyMatch(endpoint -> availability(endpoint, nowMs) == Availability.AVAILABLE);
+    }
+
+    private boolean isUntried(EndpointState endpoint) {
+        return !tried.contains(endpoint.latest().identifier());
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/EndpointSender.java
@@ -0,0 +1,54 @@
+package org.pimentovale.gateway.caller;
+
+import io.vertx.core.http.HttpClientResponse;
+import java.util.List;
+import java.util.Optional;
+import org.pimentovale.gateway.endpoint.EndpointClient;
+import org.pimentovale.gateway.port.DispatchContext;
+import org.pimentovale.gateway.port.ResponseHead;
+import org.pimentovale.kernel.directory.EndpointRecord;
+import org.pimentovale.kernel.directory.EndpointState;
+import org.pimentovale.kernel.serving.ServingWorkspace;
+
+/**
+ * Sends one caller's request to endpoints and reads the heads of their responses.
+ *
+ * <p>Invariant: each response that arrives is observed, also after its call was closed. Not thread safe; used on one
+ * event loop.
+ */
+final class EndpointSender {
+    private final CallerRequest request;
+    private final RequestServices services;
+
+    EndpointSender(CallerRequest request, RequestServices services) {
+        this.request = request;
+        this.services = services;
+    }
+
+    /** Sends the request to an endpoint, with the results of its stages if it has any. */
+    EndpointCall send(EndpointState endpoint, long remainingMs, Optional<List<String>> stageResults, long nowMs) {
+        EndpointRecord target = endpoint.latest();
+        Optional<String> workspace = request.routed().workspace().map(ServingWorkspace::name);
+        DispatchContext dispatch = new DispatchContext(target.identifier(), remainingMs, workspace, stageResults);
+        EndpointClient.PendingRequest pending = services.endpoints()
+                .send(
+                        target.address(),
+                        request.method(),
+                        request.uri(),
+                        services.endpointCodec().requestHeaders(request.headers(), dispatch),
+                        request.body(),
+                        response -> observe(target, response));
+        return new EndpointCall(services.vertx(), endpoint, pending, nowMs);
+    }
+
+    private void observe(EndpointRecord target, HttpClientResponse response) {
+        ResponseHead head = readHead(response);
+        boolean answered = !head.notRun() && head.answers(request.attempt().identifier());
+        services.observer().observe(target, head, answered);
+    }
+
+    /** Decodes the head of a response. */
+    ResponseHead readHead(HttpClientResponse response) {
+        return services.endpointCodec().readResponseHead(response.statusCode(), response.headers());
+    }
+}
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
@@ -11,10 +11,10 @@
 import org.pimentovale.error.ServingException;
 import org.pimentovale.gateway.GatewayTables;
 import org.pimentovale.gateway.port.CallerAttempt.ResumedStream;
-import org.pimentovale.gateway.port.DispatchContext;
 import org.pimentovale.gateway.port.ResponseHead;
 import org.pimentovale.kernel.directory.EndpointRecord;
 import org.pimentovale.kernel.directory.EndpointState;
+import org.pimentovale.kernel.directory.EndpointWait;
 import org.pimentovale.kernel.serving.RequestKind;
 import org.pimentovale.kernel.serving.ServingRoute;
 import org.pimentovale.kernel.serving.ServingService;
@@ -28,8 +28,6 @@
  * exactly once, and then its calls, stages and timers are cancelled. Not thread safe; used on one event loop.
  */
 public final class RequestExecution {
-    private static final int ENDPOINT_CHECK_INTERVAL_MS = 25;
-    private static final int ENDPOINT_WAIT_GOAL_DIVISOR = 8;
     private static final double RESPONSE_TIMEOUT_GOAL_FRACTION = 0.6;
     private static final long DEFAULT_RETRY_AFTER_MS = 300;
     private static final int STATUS_CONFLICT = 409;
@@ -42,6 +40,7 @@
     private final RequestServices services;
     private final Consumer<RequestExecution> onEnd;
     private final EndpointCandidates candidates;
+    private final EndpointSender sender;
     private final RequestLog log;
     private final SendHistory history;
     private final ShutdownGate shutdownGate;
@@ -74,6 +73,7 @@
         this.services = services;
         this.onEnd = onEnd;
         this.candidates = new EndpointCandidates(request, tables);
+        this.sender = new EndpointSender(request, services);
         this.log = new RequestLog(request, tables);
         this.history = new SendHistory(request.routed().route());
         this.shutdownGate = new ShutdownGate(request, tables, services.shutdown(), log);
@@ -171,7 +171,7 @@
         if (ended || refuseQuarantined()) {
             return;
         }
-        if (allowed && candidates.isStillUsable(endpoint, tables.nowMs())) {
+        if (allowed && candidates.isStillAvailable(endpoint, tables.nowMs())) {
             sendWithinRetryBudget(endpoint);
         } else {
             dispatch();
@@ -189,16 +189,13 @@
     }
 
     private void waitForEndpoint(long nowMs) {
-        long maxWaitMs = request.routed().route().goalMs() / ENDPOINT_WAIT_GOAL_DIVISOR;
-        if (history.mayHaveRun() || candidates.isBuildGone() || nowMs - dispatchStartedMs >= maxWaitMs) {
-            fail(history.createFailure(
-                            ErrorCode.NO_ENDPOINT,
-                            "no usable endpoint of service "
-                                    + candidates.service().name())
-                    .withRetryAfter(Math.max(DEFAULT_RETRY_AFTER_MS, candidates.withheldMs(nowMs))));
+        EndpointWait wait = candidates.decideWait(nowMs - dispatchStartedMs, nowMs);
+        if (history.mayHaveRun() || candidates.isBuildGone() || !wait.waits()) {
+            fail(history.createFailure(ErrorCode.NO_ENDPOINT, candidates.unavailability(nowMs))
+                    .withRetryAfter(wait.retryAfterMs()));
             return;
         }
-        services.vertx().setTimer(ENDPOINT_CHECK_INTERVAL_MS, fired -> dispatch());
+        services.vertx().setTimer(wait.delayMs(), fired -> dispatch());
     }
 
     private void send(EndpointState endpoint, ServingService service, long nowMs) {
@@ -219,19 +216,7 @@
         }
         candidates.markTried(identifier);
         recordOrigin(endpoint.latest(), history.recordSend());
-        DispatchContext dispatch = new DispatchContext(
-                identifier, remainingMs, request.routed().workspace().map(workspace -> workspace.name()), stageResults);
-        EndpointCall call = new EndpointCall(
-                services.vertx(),
-                endpoint,
-                services.endpoints()
-                        .send(
-                                endpoint.latest().address(),
-                                request.method(),
-                                request.uri(),
-                                services.endpointCodec().requestHeaders(request.headers(), dispatch),
-                                request.body()),
-                nowMs);
+        EndpointCall call = sender.send(endpoint, remainingMs, stageResults, nowMs);
         currentCall = Optional.of(call);
         log.info(
                 "request_sent",
@@ -271,7 +256,7 @@
     }
 
     private void giveUp(EndpointCall call) {
-        if (shutdownGate.allowsAnotherCall()) {
+        if (candidates.hasUntried(tables.nowMs()) && shutdownGate.allowsAnotherCall()) {
             callFailed(call, ServingException.unknown(ErrorCode.PROGRESS_TIMEOUT, "no response head in time"));
         }
     }
@@ -325,12 +310,7 @@
             return;
         }
         call.cancelResponseTimer();
-        ResponseHead head = services.endpointCodec().readResponseHead(response.statusCode(), response.headers());
-        if (head.status() != STATUS_MISDIRECTED_REQUEST) {
-            boolean complete = !head.notRun() && head.answers(request.attempt().identifier());
-            services.permits().recordResponse(call.endpoint(), head.requestsPerSecond(), complete);
-        }
-        head.pendingCalls().ifPresent(calls -> call.endpoint().recordLoad(calls, tables.nowMs()));
+        ResponseHead head = sender.readHead(response);
         if (head.notRun()) {
             handleRefusal(call, head);
         } else if (!head.answers(request.attempt().identifier()) || REFUSAL_STATUSES.contains(head.status())) {
@@ -345,7 +325,9 @@
     }
 
     private boolean mayTryAnotherEndpoint() {
-        return history.allowsAnotherAfterPresent() && candidates.hasUntried() && shutdownGate.allowsAnotherCall();
+        return history.allowsAnotherAfterPresent()
+                && candidates.hasUntried(tables.nowMs())
+                && shutdownGate.allowsAnotherCall();
     }
 
     private void handleRefusal(EndpointCall call, ResponseHead head) {
@@ -356,6 +338,9 @@
         if (head.status() == STATUS_MISDIRECTED_REQUEST) {
             call.endpoint().recordFailure(tables.nowMs());
         }
+        if (head.delayMs().isPresent()) {
+            candidates.markUntried(identifier);
+        }
         if (head.status() == STATUS_CONFLICT) {
             fail(history.createFailure(ErrorCode.STAGE_FAILED, "a stage result is no longer available"));
         } else {
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestServices.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestServices.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import java.util.function.UnaryOperator;
 import org.pimentovale.gateway.endpoint.EndpointClient;
+import org.pimentovale.gateway.endpoint.EndpointResponseObserver;
 import org.pimentovale.gateway.limit.RequestPermits;
 import org.pimentovale.gateway.metric.GatewayMetrics;
 import org.pimentovale.gateway.port.EndpointCodec;
@@ -16,6 +17,7 @@
  *
  * @param vertx runs timers on the event loop
  * @param endpoints sends requests to endpoints
+ * @param observer records what endpoints say about themselves in their responses
  * @param endpointCodec encodes and decodes the endpoints' headers
  * @param stages runs stages through their owners
  * @param suspects tracks the requests that crash endpoints
@@ -28,6 +30,7 @@
 public record RequestServices(
         Vertx vertx,
         EndpointClient endpoints,
+        EndpointResponseObserver observer,
         EndpointCodec endpointCodec,
         StageClient stages,
         SuspectTracker suspects,
--- a/gateway/src/main/java/org/pimentovale/gateway/endpoint/EndpointClient.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/endpoint/EndpointClient.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
 
@@ -29,8 +30,13 @@
     /** A request in progress. Not thread safe; used on one event loop. */
     public static final class PendingRequest {
         private final Promise<HttpClientResponse> head = Promise.promise();
+        private final Consumer<HttpClientResponse> observer;
         private Optional<HttpClientRequest> request = Optional.empty();
 
+        private PendingRequest(Consumer<HttpClientResponse> observer) {
+            this.observer = observer;
+        }
+
         /**
          * Returns the head of the response. The body is paused until the response is resumed.
          *
@@ -65,10 +71,17 @@
      * @param uri path and query
      * @param headers the complete request headers
      * @param body the body, empty for a request without one
+     * @param observer receives the response before {@link PendingRequest#head}, also if the request was cancelled
      * @return the request in progress
      */
-    public PendingRequest send(String address, HttpMethod method, String uri, MultiMap headers, Optional<Buffer> body) {
-        PendingRequest pending = new PendingRequest();
+    public PendingRequest send(
+            String address,
+            HttpMethod method,
+            String uri,
+            MultiMap headers,
+            Optional<Buffer> body,
+            Consumer<HttpClientResponse> observer) {
+        PendingRequest pending = new PendingRequest(observer);
         int colon = address.lastIndexOf(':');
         RequestOptions options = new RequestOptions()
                 .setMethod(method)
@@ -105,7 +118,10 @@
             if (result.failed()) {
                 pending.head.tryFail(ServingException.unknown(
                         ErrorCode.CONNECTION_LOST, String.valueOf(result.cause().getMessage())));
-            } else if (!pending.head.tryComplete(result.result().pause())) {
+                return;
+            }
+            pending.observer.accept(result.result());
+            if (!pending.head.tryComplete(result.result().pause())) {
                 request.reset();
             }
         });
--- a/gateway/src/main/java/org/pimentovale/gateway/metric/GatewayMetrics.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/metric/GatewayMetrics.java
@@ -47,6 +47,11 @@
             .help("Calls to endpoints that failed or were refused, by service and reason.")
             .labelNames("service", "reason")
             .register(registry);
+    private final Counter endpointNotices = Counter.builder()
+            .name("pimentovale_gateway_endpoint_notices")
+            .help("Endpoints that said they are leaving or take no requests for some time, and ignored headers.")
+            .labelNames("service", "notice")
+            .register(registry);
     private final Counter stageCalls = Counter.builder()
             .name("pimentovale_gateway_stage_calls")
             .help("Calls for pieces that this gateway made as an owner.")
@@ -108,6 +113,16 @@
         endpointFailures.labelValues(service, reason).inc();
     }
 
+    /**
+     * Counts a notice of an endpoint in one of its responses.
+     *
+     * @param service the endpoint's service
+     * @param notice "leaving", "turned-away", or "unreadable-" and the name of the header
+     */
+    public void recordEndpointNotice(String service, String notice) {
+        endpointNotices.labelValues(service, notice).inc();
+    }
+
     /**
      * Counts a batch call to an endpoint of a stage's service.
      *
--- a/gateway/src/main/java/org/pimentovale/gateway/port/ResponseHead.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ResponseHead.java
@@ -1,8 +1,10 @@
 package org.pimentovale.gateway.port;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 /**
  * The decoded status and headers of an endpoint's response.
@@ -13,6 +15,10 @@
  * @param signed whether the response carries the endpoint's signature
  * @param pendingCalls number of calls that are running or queued at the endpoint, empty if not reported
  * @param requestsPerSecond the rate of requests that the endpoint takes from all gateways together, empty if unlimited
+ * @param leaving whether the endpoint says that it is leaving and takes no new work
+ * @param delayMs the time for which the endpoint takes no requests after it refused one, in milliseconds; empty if it
+ *     names none
+ * @param unreadableHeaders the names of the headers whose values were ignored because they are not valid
  */
 public record ResponseHead(
         int status,
@@ -20,9 +26,17 @@
         Optional<String> attemptId,
         boolean signed,
         OptionalInt pendingCalls,
-        OptionalDouble requestsPerSecond) {
+        OptionalDouble requestsPerSecond,
+        boolean leaving,
+        OptionalLong delayMs,
+        List<String> unreadableHeaders) {
     private static final int STATUS_REDIRECTION = 300;
 
+    /** Copies the list. */
+    public ResponseHead {
+        unreadableHeaders = List.copyOf(unreadableHeaders);
+    }
+
     /**
      * Tells whether the response belongs to an attempt. A failure may name no attempt and need not be signed.
      *
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
@@ -27,6 +27,7 @@
 import org.pimentovale.kernel.batch.StageQueue;
 import org.pimentovale.kernel.batch.StageTicket;
 import org.pimentovale.kernel.batch.TicketPiece;
+import org.pimentovale.kernel.directory.Availability;
 import org.pimentovale.kernel.directory.EndpointState;
 import org.pimentovale.kernel.serving.PieceLimits;
 import org.pimentovale.kernel.serving.ServingService;
@@ -171,8 +172,8 @@
         long nowMs = tables.nowMs();
         if (limits.isPresent()) {
             resultCapacity.releaseExpired(nowMs);
-            queue.rejectLateTickets(
-                            limits.get(), tables.endpoints().usable(service).size(), nowMs)
+            List<EndpointState> usable = tables.endpoints().usable(service);
+            queue.rejectLateTickets(limits.get(), usable.size(), startDelayMs(usable, nowMs), nowMs)
                     .forEach(this::failRejected);
             while (queue.waitingPieces() > 0 && startCall(limits.get(), nowMs)) {
                 nowMs = tables.nowMs();
@@ -181,6 +182,15 @@
         scheduleRecheck();
     }
 
+    /** Returns the time until the first endpoint takes calls, positive if all have refused calls for some time. */
+    private long startDelayMs(List<EndpointState> usable, long nowMs) {
+        return usable.stream()
+                .mapToLong(
+                        endpoint -> tables.endpoints().returnMs(endpoint, nowMs).orElse(0))
+                .min()
+                .orElse(0);
+    }
+
     private void failRejected(RejectedTicket rejected) {
         ServingException failure = ServingException.notRun(
                         ErrorCode.DEADLINE_UNREACHABLE,
@@ -238,9 +248,14 @@
         return runningCalls.getOrDefault(identifier, 0) < limits.concurrentCalls()
                 && nowMs >= backoffUntilMs.getOrDefault(identifier, Long.MIN_VALUE)
                 && !endpoint.inBackoff(nowMs)
+                && availability(endpoint, nowMs) == Availability.AVAILABLE
                 && permits.mayBeSentByOwner(endpoint);
     }
 
+    private Availability availability(EndpointState endpoint, long nowMs) {
+        return tables.endpoints().availability(endpoint, nowMs);
+    }
+
     private static boolean isSlow(EndpointState endpoint, long nowMs) {
         return endpoint.latencyRatio() > SLOW_LATENCY_RATIO
                 && nowMs - endpoint.latencyRatioAtMs() < LATENCY_RATIO_VALID_MS;
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageEndpointClient.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageEndpointClient.java
@@ -15,6 +15,7 @@
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
 import org.pimentovale.gateway.GatewayTables;
+import org.pimentovale.gateway.endpoint.EndpointResponseObserver;
 import org.pimentovale.gateway.limit.RequestPermits;
 import org.pimentovale.gateway.port.EndpointCodec;
 import org.pimentovale.gateway.port.PieceRequest;
@@ -22,7 +23,9 @@
 import org.pimentovale.gateway.port.ResponseHead;
 import org.pimentovale.gateway.port.StageCodec;
 import org.pimentovale.kernel.batch.TicketPiece;
+import org.pimentovale.kernel.directory.Availability;
 import org.pimentovale.kernel.directory.EndpointRecord;
+import org.pimentovale.kernel.directory.EndpointState;
 import org.pimentovale.log.Events;
 import org.pimentovale.store.http.HttpCall;
 import org.pimentovale.store.http.HttpResponse;
@@ -35,8 +38,8 @@
     private static final int TIMEOUT_MARGIN_MS = 200;
     private static final int RELEASE_TIMEOUT_MS = 500;
     private static final int RELEASE_BATCH_DELAY_MS = 10;
+    private static final long MAX_RELEASE_DELAY_MS = 5_000;
     private static final int STATUS_OK = 200;
-    private static final int STATUS_MISDIRECTED_REQUEST = 421;
     private static final int STATUS_UNAVAILABLE = 503;
 
     private final Vertx vertx;
@@ -44,6 +47,7 @@
     private final TimedHttpClient releaseClient;
     private final GatewayTables tables;
     private final RequestPermits permits;
+    private final EndpointResponseObserver observer;
     private final StageCodec codec;
     private final EndpointCodec endpointCodec;
     private final Map<String, List<String>> pendingReleases = new LinkedHashMap<>();
@@ -56,6 +60,7 @@
      * @param releaseClient reuses connections; a release may be lost or delivered twice
      * @param tables provides the time and the endpoints
      * @param permits keeps to the rate limits that endpoints name
+     * @param observer records what endpoints say about themselves in their responses
      * @param codec encodes calls and decodes results
      * @param endpointCodec decodes the heads of responses
      */
@@ -65,6 +70,7 @@
             TimedHttpClient releaseClient,
             GatewayTables tables,
             RequestPermits permits,
+            EndpointResponseObserver observer,
             StageCodec codec,
             EndpointCodec endpointCodec) {
         this.vertx = vertx;
@@ -72,6 +78,7 @@
         this.releaseClient = releaseClient;
         this.tables = tables;
         this.permits = permits;
+        this.observer = observer;
         this.codec = codec;
         this.endpointCodec = endpointCodec;
     }
@@ -96,7 +103,7 @@
                         codec.encodePieces(requests),
                         timeoutMs)
                 .map(response -> {
-                    recordRequestLimit(endpoint, response);
+                    observe(endpoint, response);
                     if (response.status() != STATUS_OK) {
                         throw toFailure(response);
                     }
@@ -104,14 +111,9 @@
                 });
     }
 
-    private void recordRequestLimit(EndpointRecord endpoint, HttpResponse response) {
+    private void observe(EndpointRecord endpoint, HttpResponse response) {
         ResponseHead head = endpointCodec.readResponseHead(response.status(), response.headers());
-        if (response.status() != STATUS_MISDIRECTED_REQUEST) {
-            tables.endpoints()
-                    .find(endpoint.identifier())
-                    .ifPresent(state ->
-                            permits.recordResponse(state, head.requestsPerSecond(), response.status() == STATUS_OK));
-        }
+        observer.observe(endpoint, head, response.status() == STATUS_OK);
     }
 
     private PieceRequest pieceRequest(TicketPiece piece) {
@@ -152,31 +154,66 @@
         List<String> handles = pendingReleases.remove(address);
         // Another endpoint may use the address by now, so the release is sent only to an endpoint that is listed there,
         // and names it.
-        Optional<EndpointRecord> target = tables.endpoints().allEndpoints().stream()
-                .map(endpoint -> endpoint.latest())
-                .filter(latest -> latest.address().equals(address))
+        Optional<EndpointState> target = tables.endpoints().allEndpoints().stream()
+                .filter(endpoint -> endpoint.latest().address().equals(address))
                 .findFirst();
         if (target.isEmpty() || handles == null) {
             return;
         }
-        tables.endpoints().find(target.get().identifier()).ifPresent(permits::recordSentByOwner);
+        Availability availability = tables.endpoints().availability(target.get(), tables.nowMs());
+        if (availability == Availability.LEAVING) {
+            return; // its results are gone soon
+        }
+        if (availability == Availability.TURNED_AWAY) {
+            releaseLater(target.get(), handles, released);
+            return;
+        }
+        permits.recordSentByOwner(target.get());
+        sendRelease(target.get().latest(), handles, released);
+    }
+
+    /** Releases results when their endpoint takes requests again, unless they have expired by then. */
+    private void releaseLater(EndpointState endpoint, List<String> handles, Consumer<List<String>> released) {
+        long delayMs = tables.endpoints().returnMs(endpoint, tables.nowMs()).orElse(0);
+        if (delayMs > MAX_RELEASE_DELAY_MS) {
+            logReleaseFailure(endpoint.latest(), handles, "takes no requests for " + delayMs + " ms");
+            return;
+        }
+        vertx.setTimer(Math.max(1, delayMs), fired -> release(handles, released));
+    }
+
+    private void sendRelease(EndpointRecord endpoint, List<String> handles, Consumer<List<String>> released) {
         post(
                         releaseClient,
-                        address,
+                        endpoint.address(),
                         codec.releasePath(),
-                        codec.headers(target.get().identifier()),
+                        codec.headers(endpoint.identifier()),
                         codec.encodeRelease(handles),
                         RELEASE_TIMEOUT_MS)
-                .onSuccess(response -> released.accept(handles))
-                .onFailure(failure -> Events.info(
-                        LOG,
-                        "release_failed",
-                        "endpoint",
-                        target.get().identifier(),
-                        "results",
-                        handles.size(),
-                        "failure",
-                        failure.getMessage()));
+                .onSuccess(response -> handleReleaseResponse(endpoint, handles, response, released))
+                .onFailure(failure -> logReleaseFailure(endpoint, handles, failure.getMessage()));
+    }
+
+    private void handleReleaseResponse(
+            EndpointRecord endpoint, List<String> handles, HttpResponse response, Consumer<List<String>> released) {
+        observe(endpoint, response);
+        if (response.status() == STATUS_OK) {
+            released.accept(handles);
+        } else {
+            logReleaseFailure(endpoint, handles, "status " + response.status());
+        }
+    }
+
+    private static void logReleaseFailure(EndpointRecord endpoint, List<String> handles, String failure) {
+        Events.info(
+                LOG,
+                "release_failed",
+                "endpoint",
+                endpoint.identifier(),
+                "results",
+                handles.size(),
+                "failure",
+                failure);
     }
 
     private static Future<HttpResponse> post(
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageQueue.java
@@ -61,10 +61,12 @@
      *
      * @param limits the limits of one endpoint of the service
      * @param endpoints the number of endpoints that accept work
+     * @param startDelayMs the time until the first endpoint accepts a call, in milliseconds; positive if all endpoints
+     *     have refused calls for some time
      * @param nowMs the current time in milliseconds
      * @return the removed tickets with their expected waits; the caller has to fail them
      */
-    public List<RejectedTicket> rejectLateTickets(PieceLimits limits, int endpoints, long nowMs) {
+    public List<RejectedTicket> rejectLateTickets(PieceLimits limits, int endpoints, long startDelayMs, long nowMs) {
         List<RejectedTicket> rejected = new ArrayList<>();
         double fullCallMs = limits.durationMs(limits.maximumPiecesPerCall());
         int piecesPerRound = Math.max(1, endpoints) * limits.maximumPiecesPerCall();
@@ -72,7 +74,7 @@
         for (StageTicket ticket : ticketsInOrder(limits, nowMs)) {
             int pieces = ticket.waitingPieces();
             int roundsAhead = piecesAhead / piecesPerRound;
-            long expectedWaitMs = ticket.unstarted() ? (long) (roundsAhead * fullCallMs) : 0;
+            long expectedWaitMs = startDelayMs + (ticket.unstarted() ? (long) (roundsAhead * fullCallMs) : 0);
             double expectedEndMs =
                     nowMs + expectedWaitMs + limits.durationMs(Math.min(pieces, limits.maximumPiecesPerCall()));
             boolean exceedsGoal = ticket.unstarted() && nowMs + expectedWaitMs > ticket.dueMs() + MAX_GOAL_OVERRUN_MS;
--- a/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -16,8 +17,12 @@
  * <p>Entries that are missing after a store outage may have expired only because of the outage. They stay usable for
  * {@link #EXPIRY_GRACE_PERIOD_MS} after the store is reachable again and are removed afterwards.
  *
- * <p>Invariant: endpoints that are draining, removed, or in a withdrawn availability zone are never usable. Not thread
- * safe; used on one event loop.
+ * <p>An endpoint may say in a response that it is leaving, or refuse a request and name a delay. Such a notice is bound
+ * to the endpoint's incarnation: it outlasts the removal of the entry and older entries, and ends with a later
+ * incarnation.
+ *
+ * <p>Invariant: endpoints that are draining, leaving, removed, or in a withdrawn availability zone are never usable. Not
+ * thread safe; used on one event loop.
  */
 public final class EndpointDirectory {
     /** How long missing entries stay usable after the store is reachable again, in milliseconds. */
@@ -25,6 +30,7 @@
 
     private final Map<String, EndpointState> endpoints = new HashMap<>();
     private final Map<String, List<EndpointState>> byService = new HashMap<>();
+    private final EndpointNoticeTable notices = new EndpointNoticeTable();
     private final Set<String> withdrawnZones = new HashSet<>();
     private long graceUntilMs = Long.MIN_VALUE;
 
@@ -149,28 +155,122 @@
     }
 
     /**
-     * Returns the endpoints of a service that may get new work.
+     * Returns the endpoints of a service that take new work, now or after a wait.
      *
      * @param service the service's name
      * @return the endpoints, in no particular order
      */
     public List<EndpointState> usable(String service) {
-        return byService.getOrDefault(service, List.of()).stream()
-                .filter(this::isUsable)
-                .toList();
+        return ofService(service).stream().filter(this::isUsable).toList();
     }
 
     /**
-     * Tells whether an endpoint may get new work now.
+     * Returns the listed endpoints of a service, including unusable ones.
+     *
+     * @param service the service's name
+     * @return the endpoints, in no particular order
+     */
+    public List<EndpointState> ofService(String service) {
+        return Collections.unmodifiableList(byService.getOrDefault(service, List.of()));
+    }
+
+    /**
+     * Tells whether an endpoint takes new work.
      *
      * @param endpoint a current or former endpoint of this directory
-     * @return false if it is draining, removed, or in a withdrawn availability zone
+     * @return false if it is draining, leaving, removed, or in a withdrawn availability zone
      */
     public boolean isUsable(EndpointState endpoint) {
+        return listedAvailability(endpoint).serving();
+    }
+
+    /**
+     * Tells whether an endpoint may get a request now, as far as the platform's list and the endpoint's own responses
+     * decide that.
+     *
+     * @param endpoint a current or former endpoint of this directory
+     * @param nowMs the current time in milliseconds
+     * @return the availability without cold limits, which depend on the service
+     */
+    public Availability availability(EndpointState endpoint, long nowMs) {
+        Availability listed = listedAvailability(endpoint);
+        if (listed != Availability.AVAILABLE) {
+            return listed;
+        }
+        Optional<EndpointNotices> said = notices.find(endpoint.latest());
+        if (said.filter(notice -> notice.turnedAwayMs(nowMs) > 0).isPresent()) {
+            return Availability.TURNED_AWAY;
+        }
+        if (said.filter(notice -> !notice.hasRampedUp(endpoint.runningCalls(), nowMs))
+                .isPresent()) {
+            return Availability.RAMPING_UP;
+        }
+        return endpoint.withheldMs(nowMs) > 0 ? Availability.RATE_LIMITED : Availability.AVAILABLE;
+    }
+
+    private Availability listedAvailability(EndpointState endpoint) {
         EndpointRecord latest = endpoint.latest();
-        return endpoints.get(latest.identifier()) == endpoint
-                && !latest.draining()
-                && !withdrawnZones.contains(latest.zone());
+        if (endpoints.get(latest.identifier()) != endpoint) {
+            return Availability.REMOVED;
+        }
+        if (latest.draining()) {
+            return Availability.DRAINING;
+        }
+        if (notices.find(latest).filter(EndpointNotices::leaving).isPresent()) {
+            return Availability.LEAVING;
+        }
+        return withdrawnZones.contains(latest.zone()) ? Availability.ZONE_WITHDRAWN : Availability.AVAILABLE;
+    }
+
+    /**
+     * Returns the time until an endpoint that refused a request may get one again.
+     *
+     * @param endpoint the endpoint
+     * @param nowMs the current time in milliseconds
+     * @return milliseconds, empty unless the endpoint is {@link Availability#TURNED_AWAY} or
+     *     {@link Availability#RAMPING_UP}
+     */
+    public OptionalLong returnMs(EndpointState endpoint, long nowMs) {
+        Availability availability = availability(endpoint, nowMs);
+        return availability == Availability.TURNED_AWAY || availability == Availability.RAMPING_UP
+                ? OptionalLong.of(notices.find(endpoint.latest()).orElseThrow().returnMs(nowMs))
+                : OptionalLong.empty();
+    }
+
+    /**
+     * Records that an endpoint said in a response that it is leaving. It gets no new work from then on.
+     *
+     * @param incarnation the entry of the endpoint when the request was sent to it
+     * @param nowMs the current time in milliseconds
+     * @return whether that was not known before
+     */
+    public boolean recordLeaving(EndpointRecord incarnation, long nowMs) {
+        return openNotices(incarnation, nowMs)
+                .map(notice -> notice.recordLeaving(nowMs))
+                .orElse(false);
+    }
+
+    /**
+     * Records that an endpoint refused a request and takes none for some time. The longest time counts.
+     *
+     * @param incarnation the entry of the endpoint when the request was sent to it
+     * @param delayMs the time in milliseconds, positive
+     * @param nowMs the current time in milliseconds
+     * @return whether that prolongs the time known before
+     */
+    public boolean recordTurnedAway(EndpointRecord incarnation, long delayMs, long nowMs) {
+        return openNotices(incarnation, nowMs)
+                .map(notice -> notice.recordTurnedAway(delayMs, nowMs))
+                .orElse(false);
+    }
+
+    /** Returns the notices of an incarnation to add to them, empty if a later one is known. */
+    private Optional<EndpointNotices> openNotices(EndpointRecord incarnation, long nowMs) {
+        notices.removeOld(endpoints::containsKey, nowMs);
+        boolean restarted = find(incarnation.identifier())
+                .filter(listed -> listed.latest().startedMs() > incarnation.startedMs())
+                .isPresent();
+        return restarted ? Optional.empty() : notices.open(incarnation);
     }
 
     /**
--- a/kernel/src/test/java/org/pimentovale/kernel/batch/StageQueueTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/batch/StageQueueTest.java
@@ -23,7 +23,7 @@
     }
 
     private List<StageTicket> rejectLateTickets(int endpoints, long nowMs) {
-        return queue.rejectLateTickets(LIMITS, endpoints, nowMs).stream()
+        return queue.rejectLateTickets(LIMITS, endpoints, 0, nowMs).stream()
                 .map(RejectedTicket::ticket)
                 .toList();
     }
@@ -187,6 +187,14 @@
             assertThat(rejectLateTickets(1, 5_900)).containsExactly(ticket);
             assertThat(queue.waitingPieces()).isEqualTo(0);
         }
+
+        @Test
+        void isRejectedAtOnceIfAllEndpointsRefuseCallsForTooLong() {
+            StageTicket ticket = add("a", 2, 5_500, Optional.empty());
+
+            assertThat(queue.rejectLateTickets(LIMITS, 2, 5_000, 0)).isEmpty();
+            assertThat(queue.rejectLateTickets(LIMITS, 2, 5_900, 0)).containsExactly(new RejectedTicket(ticket, 5_900));
+        }
     }
 
     /**
@@ -222,7 +230,7 @@
             }
 
             // A full call takes 270 ms, so the fourteenth call starts after 3,510 ms: more than 2,500 ms past the goal.
-            List<RejectedTicket> rejected = queue.rejectLateTickets(LIMITS, 1, 0);
+            List<RejectedTicket> rejected = queue.rejectLateTickets(LIMITS, 1, 0, 0);
 
             assertThat(rejected.stream().map(RejectedTicket::ticket).toList())
                     .containsExactlyElementsIn(waiting.subList(13, 20));
--- a/standin/src/main/java/org/pimentovale/standin/fleet/EndpointBehaviour.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/EndpointBehaviour.java
@@ -24,7 +24,8 @@
     REJECT {
         @Override
         void respond(NetSocket socket, String attempt) {
-            socket.write("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            socket.write("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: " + attempt
+                    + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
         }
     },
     /** Responds with 503 without stating that the request was not executed. */
--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
@@ -30,12 +30,15 @@
  * other lock while it holds its own.
  */
 public final class FleetEndpointStandIn {
+    private static final String REQUEST_LIMIT = "Server-Limit";
+
     private final Vertx vertx;
     private final String identifier;
     private final boolean resetsOnClose;
     private final Deque<EndpointBehaviour> scriptedBehaviours = new ArrayDeque<>();
     private final List<ReceivedRequest> receivedRequests = new ArrayList<>();
-    private String requestLimit = "";
+    private final Map<String, String> responseHeaders = new TreeMap<>();
+    private Optional<String> rejection = Optional.empty();
     private final AtomicLong endlessBytes = new AtomicLong();
     private Optional<EndlessResponse> endlessResponse = Optional.empty();
     private boolean streamsForPathDuration;
@@ -155,12 +158,37 @@
      * @param requestsPerSecond the limit over all callers
      */
     public synchronized void setRequestLimit(double requestsPerSecond) {
-        requestLimit = "Server-Limit: " + requestsPerSecond + "\r\n";
+        responseHeaders.put(REQUEST_LIMIT, Double.toString(requestsPerSecond));
     }
 
     /** Makes the endpoint name no rate limit any more. */
     public synchronized void clearRequestLimit() {
-        requestLimit = "";
+        responseHeaders.remove(REQUEST_LIMIT);
+    }
+
+    /**
+     * Adds a header to all responses except those of status 421.
+     *
+     * @param name the header's name
+     * @param value the header's value
+     */
+    public synchronized void setResponseHeader(String name, String value) {
+        responseHeaders.put(name, value);
+    }
+
+    /**
+     * Makes the endpoint reject all requests with a status, stating that it has not run them.
+     *
+     * @param status the status and its reason phrase
+     */
+    public synchronized void rejectAll(String status) {
+        rejection = Optional.of(status);
+    }
+
+    /** Makes the endpoint take requests again, and removes the headers that were added to its responses. */
+    public synchronized void takeRequestsAgain() {
+        rejection = Optional.empty();
+        responseHeaders.clear();
     }
 
     /**
@@ -237,6 +265,9 @@
         if (!identifier.equals(request.headers().get("x-expect-instance"))) {
             socket.write("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + identifier
                     + "\r\nContent-Length: 0\r\n\r\n");
+        } else if (rejection.isPresent()) {
+            socket.write("HTTP/1.1 " + rejection.get() + "\r\nX-Not-Executed: 1\r\n" + responseHeaderLines()
+                    + "Content-Length: 0\r\n\r\n");
         } else if (crashText.filter(request.body()::contains).isPresent()) {
             crash();
         } else if (crashPromptPart.filter(part -> hasPromptPart(request, part)).isPresent()) {
@@ -259,12 +290,13 @@
         } else if (request.requestLine().startsWith("POST /stage-run") && scriptedBehaviours.isEmpty()) {
             runPieces(request, socket);
         } else if (request.requestLine().startsWith("POST /stage-free")) {
-            socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            socket.write("HTTP/1.1 200 OK\r\n" + responseHeaderLines() + "Content-Length: 0\r\n\r\n");
         } else {
             EndpointBehaviour next = scriptedBehaviours.isEmpty() ? defaultBehaviour : scriptedBehaviours.pollFirst();
             // The behaviours write the attempt's identifier as a whole header line, after which further ones may
             // follow.
-            next.respond(socket, request.headers().get("x-attempt-id") + requestLimitLine());
+            next.respond(
+                    socket, (request.headers().get("x-attempt-id") + "\r\n" + responseHeaderLines()).stripTrailing());
         }
     }
 
@@ -273,8 +305,11 @@
         return Long.parseLong(path.substring(path.lastIndexOf('/') + 1));
     }
 
-    private String requestLimitLine() {
-        return requestLimit.isEmpty() ? "" : "\r\n" + requestLimit.strip();
+    private String responseHeaderLines() {
+        StringBuilder lines = new StringBuilder();
+        responseHeaders.forEach(
+                (name, value) -> lines.append(name).append(": ").append(value).append("\r\n"));
+        return lines.toString();
     }
 
     private static boolean hasPromptPart(ReceivedRequest request, String part) {
@@ -304,7 +339,7 @@
             results.add(new JsonObject().put("handle", handle));
         }
         String body = new JsonObject().put("items", results).encode();
-        socket.write("HTTP/1.1 200 OK\r\n" + requestLimit + "Content-Type: application/json\r\nContent-Length: "
-                + body.length() + "\r\n\r\n" + body);
+        socket.write("HTTP/1.1 200 OK\r\n" + responseHeaderLines()
+                + "Content-Type: application/json\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
     }
 }
