Retries of all gateways stay within the slack through restarts

What was seen: with endpoints that refuse beside a rolling restart of four tenths of the gateways, 95 arrivals beyond the first at a service with 90 allowed (further, 8 gateways).

Refuted by reading: calls that endpoints refuse are charged before they are sent again.

Change: a gateway that has run for less than a window gets a fifth of its share, later four fifths, so that the parts before and after one restart add up to a share; the divisor is the greatest number of gateways within two windows; no retry before the other gateways are known. Two restarts of one gateway within a window can still exceed its share by a fifth each.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -65,7 +65,7 @@
     private static final int KEEP_ALIVE_TIMEOUT_SECONDS = 20;
     private static final int MAX_HEADER_BYTES = 64 * 1_024;
     private static final int ACCEPT_BACKLOG = 1_024;
-    private static final int BUILD_OBSERVATION_INTERVAL_MS = 1_000;
+    private static final int OBSERVATION_INTERVAL_MS = 1_000;
     private static final int DRAIN_CHECK_INTERVAL_MS = 50;
     private static final int LOAD_BALANCER_REACTION_MS = 2_600;
     private static final int EXIT_MARGIN_MS = 900;
@@ -92,7 +92,7 @@
     private final PeerListener peerListener;
     private final List<HttpClient> clients = new ArrayList<>();
     private final List<HttpServer> servers = new ArrayList<>();
-    private long buildTimer = -1;
+    private long observationTimer = -1;
     private int callerPort;
     private int readinessPort;
     private String peerAddress;
@@ -215,12 +215,13 @@
     }
 
     private void tablesChanged() {
-        observeBuilds();
+        observeTables();
         stageDispatchers.dispatchAll();
         callerListener.admitHeld();
     }
 
-    private void observeBuilds() {
+    private void observeTables() {
+        tables.observeInstances();
         if (tables.ready()) {
             origins.observeBuilds();
         }
@@ -261,7 +262,7 @@
                     synchronizer.start();
                     monitor.start();
                     suspects.start();
-                    buildTimer = vertx.setPeriodic(BUILD_OBSERVATION_INTERVAL_MS, fired -> observeBuilds());
+                    observationTimer = vertx.setPeriodic(OBSERVATION_INTERVAL_MS, fired -> observeTables());
                     registration.register(new InstanceRecord(self.name(), peerAddress, self.zone()));
                     Events.info(
                             LOG,
@@ -329,7 +330,7 @@
     public void close() {
         synchronizer.stop();
         monitor.stop();
-        vertx.cancelTimer(buildTimer);
+        vertx.cancelTimer(observationTimer);
         servers.forEach(HttpServer::close);
         clients.forEach(HttpClient::close);
         suspects.close();
--- a/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
@@ -13,6 +13,7 @@
 import org.pimentovale.kernel.endpoint.ColdEndpointRateLimiter;
 import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.placement.DurationEstimates;
+import org.pimentovale.kernel.retry.RecentMaximum;
 import org.pimentovale.kernel.retry.WindowedRetryBudget;
 import org.pimentovale.kernel.serving.ServingConfiguration;
 import org.pimentovale.kernel.time.MonotonicClock;
@@ -25,6 +26,9 @@
  * needs a lock.
  */
 public final class GatewayTables {
+    /** A gateway that shuts down uses its budget for nearly a window after it has left the list. */
+    private static final long WINDOWS_OF_DEPARTED_INSTANCES = 2;
+
     private static final double INITIAL_FIRST_EVENT_ESTIMATE_MS = 150;
 
     private final MonotonicClock clock;
@@ -35,6 +39,8 @@
     private final DurationEstimates firstEventEstimates = new DurationEstimates(INITIAL_FIRST_EVENT_ESTIMATE_MS);
     private final RetryBudgetSettings retryBudgetSettings;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
+    private final RecentMaximum instanceCounts;
+    private final long startedMs;
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private StoreRevision configurationRevision = StoreRevision.NONE;
     private final Set<ObjectKind> listedKinds = EnumSet.noneOf(ObjectKind.class);
@@ -51,6 +57,8 @@
         this.peers = peers;
         this.retryBudgetSettings = retryBudgetSettings;
         this.coldEndpointLimiter = new ColdEndpointRateLimiter(peers.self().name());
+        this.instanceCounts = new RecentMaximum(WINDOWS_OF_DEPARTED_INSTANCES * retryBudgetSettings.windowMs());
+        this.startedMs = clock.nowMs();
         this.admission = new EndpointAdmission(endpoints, coldEndpointLimiter);
     }
 
@@ -162,16 +170,25 @@
         return retryBudgets.computeIfAbsent(
                 service,
                 unused -> new WindowedRetryBudget(
-                        retryBudgetSettings.ratio(), retryBudgetSettings.slack(), retryBudgetSettings.windowMs()));
+                        retryBudgetSettings.ratio(),
+                        retryBudgetSettings.slack(),
+                        retryBudgetSettings.windowMs(),
+                        startedMs));
     }
 
     /**
      * Takes one retry from a service's budget.
      *
      * @param service the service's name
-     * @return false if the budget is exhausted
+     * @return false if the budget is exhausted, or the other gateways that share it are not known yet
      */
     public boolean tryTakeRetry(String service) {
-        return retryBudget(service).tryTakeRetry(peers.names().size(), nowMs());
+        observeInstances();
+        return ready() && retryBudget(service).tryTakeRetry(instanceCounts.get(nowMs()), nowMs());
+    }
+
+    /** Records the number of known gateways. To be called periodically and after each change. */
+    public void observeInstances() {
+        instanceCounts.observe(peers.names().size(), nowMs());
     }
 }
--- a/kernel/src/main/java/org/pimentovale/kernel/retry/WindowedRetryBudget.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/retry/WindowedRetryBudget.java
@@ -6,16 +6,22 @@
 /**
  * Limits the retries of one instance to its share of a limit that applies to all instances together.
  *
- * <p>Each instance may use the ratio of its own first attempts, plus the slack divided by the number of instances that
- * may be alive. The sum stays within the common limit without coordination messages.
+ * <p>Each instance may use the ratio of its own first attempts, plus a part of the slack divided by the number of
+ * instances. What an instance that was restarted used before is unknown after the restart, so an instance that has not
+ * run for a window yet gets a smaller part, and the parts of an instance before and after one restart add up to its
+ * whole share. The sum stays within the common limit without coordination messages.
  *
  * <p>Invariant: when a retry is granted, the retries within the window do not exceed the ratio of the first attempts
- * plus the instance's share of the slack. Not thread safe.
+ * plus the instance's part of the slack. Not thread safe.
  */
 public final class WindowedRetryBudget {
+    private static final double RESTARTED_PART = 0.2;
+    private static final double ESTABLISHED_PART = 1 - RESTARTED_PART;
+
     private final double ratio;
     private final double slack;
     private final long windowMs;
+    private final long startedMs;
     private final Deque<Long> firstAttempts = new ArrayDeque<>();
     private final Deque<Long> retries = new ArrayDeque<>();
 
@@ -25,11 +31,13 @@
      * @param ratio the number of retries per first attempt
      * @param slack the number of additional retries per window, over all instances
      * @param windowMs the length of the sliding window in milliseconds
+     * @param startedMs when this instance started, in milliseconds
      */
-    public WindowedRetryBudget(double ratio, double slack, long windowMs) {
+    public WindowedRetryBudget(double ratio, double slack, long windowMs, long startedMs) {
         this.ratio = ratio;
         this.slack = slack;
         this.windowMs = windowMs;
+        this.startedMs = startedMs;
     }
 
     /**
@@ -45,14 +53,16 @@
     /**
      * Takes one retry from the budget if the limit allows it.
      *
-     * @param instances the number of instances that may be alive, including this one
+     * @param instances the greatest number of instances that were known lately, including this one; instances that have
+     *     left may have used their parts within the window
      * @param nowMs the current time in milliseconds
      * @return true if the retry is allowed
      */
     public boolean tryTakeRetry(int instances, long nowMs) {
         removeExpired(firstAttempts, nowMs);
         removeExpired(retries, nowMs);
-        double allowed = ratio * firstAttempts.size() + slack / Math.max(1, instances);
+        double part = nowMs - startedMs < windowMs ? RESTARTED_PART : ESTABLISHED_PART;
+        double allowed = ratio * firstAttempts.size() + part * slack / Math.max(1, instances);
         if (retries.size() + 1 > allowed) {
             return false;
         }
--- a/kernel/src/test/java/org/pimentovale/kernel/retry/WindowedRetryBudgetTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/retry/WindowedRetryBudgetTest.java
@@ -7,7 +7,7 @@
 class WindowedRetryBudgetTest {
     private static final long WINDOW_MS = 10_000;
 
-    private final WindowedRetryBudget budget = new WindowedRetryBudget(0.2, 56, WINDOW_MS);
+    private final WindowedRetryBudget budget = new WindowedRetryBudget(0.2, 56, WINDOW_MS, -WINDOW_MS);
 
     private int takeAll(int instances, long nowMs) {
         int taken = 0;
@@ -19,7 +19,16 @@
 
     @Test
     void dividesSlackAmongInstances() {
-        assertThat(takeAll(8, 0)).isEqualTo(7);
+        assertThat(takeAll(8, 0)).isEqualTo(5);
+    }
+
+    @Test
+    void givesAnInstanceThatHasJustStartedTheRestOfItsShare() {
+        WindowedRetryBudget restarted = new WindowedRetryBudget(0.2, 56, WINDOW_MS, 0);
+
+        assertThat(restarted.tryTakeRetry(8, 0)).isTrue();
+        assertThat(restarted.tryTakeRetry(8, WINDOW_MS - 1)).isFalse();
+        assertThat(restarted.tryTakeRetry(8, WINDOW_MS)).isTrue();
     }
 
     @Test
@@ -28,7 +37,7 @@
             budget.recordFirstAttempt(0);
         }
 
-        assertThat(takeAll(8, 0)).isEqualTo(17);
+        assertThat(takeAll(8, 0)).isEqualTo(15);
     }
 
     @Test
@@ -36,6 +45,6 @@
         takeAll(8, 0);
 
         assertThat(takeAll(8, WINDOW_MS - 1)).isEqualTo(0);
-        assertThat(takeAll(8, WINDOW_MS)).isEqualTo(7);
+        assertThat(takeAll(8, WINDOW_MS)).isEqualTo(5);
     }
 }
