A refusal that names another attempt does not tell that a request has not run

What callers would see: a faulty endpoint writes an earlier refusal once more while it runs a booking; the booking ran at a second endpoint as well, or the caller was told 'not run'.

Cause: the statement 'not run' was believed before the attempt in the response was compared.

Evidence: RepeatedRefusalTest, red before for the refusal of another attempt (200 from the second endpoint, expected 502). Not possible here, kept as guards: a refusal written again later on a connection, since each request to an endpoint has a connection of its own; one after the answer or inside a stream.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
@@ -311,7 +311,7 @@
         }
         call.cancelResponseTimer();
         ResponseHead head = sender.readHead(response);
-        if (head.notRun()) {
+        if (head.refuses(request.attempt().identifier())) {
             handleRefusal(call, head);
         } else if (!head.answers(request.attempt().identifier()) || REFUSAL_STATUSES.contains(head.status())) {
             callFailed(call, ServingException.unknown(ErrorCode.ANSWER_MISMATCHED, "status " + head.status()));
--- a/gateway/src/main/java/org/pimentovale/gateway/port/ResponseHead.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ResponseHead.java
@@ -37,6 +37,17 @@
         unreadableHeaders = List.copyOf(unreadableHeaders);
     }
 
+    /**
+     * Tells whether the response states that the endpoint has not run an attempt. One that names another attempt states
+     * nothing: a faulty endpoint may write an earlier refusal once more while it runs this attempt.
+     *
+     * @param identifier the identifier of the attempt
+     * @return whether that attempt has not run and will not run
+     */
+    public boolean refuses(String identifier) {
+        return notRun && attemptId.map(identifier::equals).orElse(true);
+    }
+
     /**
      * Tells whether the response belongs to an attempt. A failure may name no attempt and need not be signed.
      *
--- a/standin/src/main/java/org/pimentovale/standin/fleet/EndpointBehaviour.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/EndpointBehaviour.java
@@ -24,8 +24,40 @@
     REJECT {
         @Override
         void respond(NetSocket socket, String attempt) {
-            socket.write("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: " + attempt
-                    + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            socket.write(refusal(attempt));
+        }
+    },
+    /** Writes its refusal of another attempt once more, in parts, and runs the request. */
+    REPEAT_REFUSAL_OF_ANOTHER_ATTEMPT {
+        @Override
+        void respond(NetSocket socket, String attempt) {
+            String refusal = refusal("another");
+            int half = refusal.length() / 2;
+            socket.write(refusal.substring(0, half))
+                    .compose(written -> socket.write(refusal.substring(half)))
+                    .compose(written -> socket.write(head(attempt, "200 OK", BODY.length()) + BODY));
+        }
+    },
+    /** Rejects the request twice on the same connection. */
+    REJECT_TWICE {
+        @Override
+        void respond(NetSocket socket, String attempt) {
+            socket.write(refusal(attempt) + refusal(attempt));
+        }
+    },
+    /** Sends a complete response, followed by a refusal of the same request. */
+    RESPOND_THEN_REJECT {
+        @Override
+        void respond(NetSocket socket, String attempt) {
+            socket.write(head(attempt, "200 OK", BODY.length()) + BODY + refusal(attempt));
+        }
+    },
+    /** Streams one event, writes a refusal in place of the next chunk, and closes the connection. */
+    REJECT_INSIDE_STREAM {
+        @Override
+        void respond(NetSocket socket, String attempt) {
+            socket.write(streamHead(attempt) + chunk("id: 1\ndata: one\n\n") + refusal(attempt))
+                    .onComplete(written -> socket.close());
         }
     },
     /** Responds with 503 without stating that the request was not executed. */
@@ -156,6 +188,11 @@
                 + "\r\nX-Server-Stamp: stamp-1\r\nX-Instance-Load: 1,0,6\r\nContent-Length: " + length + "\r\n\r\n";
     }
 
+    private static String refusal(String attempt) {
+        return "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: " + attempt
+                + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    }
+
     static String streamHead(String attempt) {
         return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt
                 + "\r\nX-Server-Stamp: stamp-1\r\nContent-Type: text/event-stream\r\n"
