Responses between gateways name the call that they answer

A response written once more on a kept connection between gateways, after the next call was sent, was taken for that call's: a refusal told the caller 'not run', results of a stage were another request's.

Change: the client of peers numbers its calls, the peer listener returns the number; a response with another number fails its call with unknown outcome and closes the connection. A peer of an earlier build returns none and is believed as before.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -124,7 +124,8 @@
         TimedHttpClient endpointCalls = newTimedClient(false, MAX_CONNECTIONS_PER_HOST, ErrorCode.CONNECTION_LOST);
         TimedHttpClient releaseCalls =
                 newTimedClient(true, MAX_RELEASE_CONNECTIONS_PER_HOST, ErrorCode.CONNECTION_LOST);
-        TimedHttpClient peerCalls = newTimedClient(true, MAX_CONNECTIONS_PER_HOST, ErrorCode.PEER_UNAVAILABLE);
+        TimedHttpClient peerCalls = TimedHttpClient.identifyingCalls(
+                vertx, newClient(true, MAX_CONNECTIONS_PER_HOST), ErrorCode.PEER_UNAVAILABLE);
         RequestPermits permits = new RequestPermits(tables, peerCalls);
         EndpointResponseObserver observer = new EndpointResponseObserver(tables, permits, metrics);
         StageEndpointClient stageEndpointClient = new StageEndpointClient(
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
@@ -32,6 +32,7 @@
 import org.pimentovale.kernel.batch.StageTicket;
 import org.pimentovale.kernel.batch.StageWork;
 import org.pimentovale.log.Events;
+import org.pimentovale.store.http.TimedHttpClient;
 
 /** Handles requests from the other gateways. Not thread safe; used on one event loop. */
 public final class PeerListener {
@@ -87,6 +88,10 @@
      * @param http the request
      */
     public void handle(HttpServerRequest http) {
+        String callId = http.getHeader(TimedHttpClient.CALL_ID);
+        if (callId != null) {
+            http.response().putHeader(TimedHttpClient.CALL_ID, callId);
+        }
         switch (http.path()) {
             case PeerPaths.ALIVE ->
                 http.response()
--- a/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
+++ b/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
@@ -9,23 +9,32 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
 
 /**
  * Sends HTTP calls that end within their timeout.
  *
+ * <p>A client that identifies its calls sends {@link #CALL_ID} with each of them, and a server of the same product
+ * returns it. A response with another identifier belongs to an earlier call on the connection and fails the present one.
+ *
  * <p>A call for which no connection could be opened fails with the outcome "not run", any other with "unknown".
  *
  * <p>Invariants: a response body is held in memory up to a limit, beyond which its call fails; the connection of a
  * timed-out or cancelled call is closed and never reused. Thread safe.
  */
 public final class TimedHttpClient {
+    /** Header that identifies a call on its connection. */
+    public static final String CALL_ID = "Call-Id";
+
     private static final int MAX_BODY_BYTES = 8 * 1_024 * 1_024;
 
     private final Vertx vertx;
     private final HttpClient client;
     private final ErrorCode failureCode;
+    private final Optional<AtomicLong> lastCallId;
 
     /**
      * Creates a client.
@@ -35,9 +44,26 @@
      * @param failureCode the error code of a call without a complete response
      */
     public TimedHttpClient(Vertx vertx, HttpClient client, ErrorCode failureCode) {
+        this(vertx, client, failureCode, Optional.empty());
+    }
+
+    private TimedHttpClient(Vertx vertx, HttpClient client, ErrorCode failureCode, Optional<AtomicLong> lastCallId) {
         this.vertx = vertx;
         this.client = client;
         this.failureCode = failureCode;
+        this.lastCallId = lastCallId;
+    }
+
+    /**
+     * Creates a client that identifies its calls.
+     *
+     * @param vertx runs timers
+     * @param client opens connections and sends requests
+     * @param failureCode the error code of a call without a complete response
+     * @return the client
+     */
+    public static TimedHttpClient identifyingCalls(Vertx vertx, HttpClient client, ErrorCode failureCode) {
+        return new TimedHttpClient(vertx, client, failureCode, Optional.of(new AtomicLong()));
     }
 
     /**
@@ -84,10 +110,15 @@
             return;
         }
         promise.future().onFailure(failure -> request.reset());
+        Optional<String> callId = lastCallId.map(last -> Long.toString(last.incrementAndGet()));
+        callId.ifPresent(identifier -> request.putHeader(CALL_ID, identifier));
         (httpCall.body().isEmpty()
                         ? request.send()
                         : request.send(httpCall.body().get()))
-                .compose(this::readBody)
+                .compose(response -> belongsTo(callId, response)
+                        ? readBody(response)
+                        : Future.failedFuture(ServingException.unknown(
+                                failureCode, "the response belongs to an earlier call on the connection")))
                 .onComplete(result -> {
                     if (result.succeeded()) {
                         promise.tryComplete(result.result());
@@ -97,6 +128,12 @@
                 });
     }
 
+    /** Tells whether a response is that of a call. One without identifier is from a server that returns none. */
+    private static boolean belongsTo(Optional<String> callId, HttpClientResponse response) {
+        String returned = response.getHeader(CALL_ID);
+        return callId.isEmpty() || returned == null || returned.equals(callId.get());
+    }
+
     private Future<HttpResponse> readBody(HttpClientResponse response) {
         Promise<HttpResponse> complete = Promise.promise();
         Buffer body = Buffer.buffer();
