Streams of a single build go on after all gateways died

Cause: what was listed before the start is known to no gateway that has just started.

Change: a checkpoint of the confirmed history in the store, taken over with all changes since, or not at all; see DESIGN.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -41,11 +41,14 @@
 import org.pimentovale.gateway.stage.StageDispatcher;
 import org.pimentovale.gateway.stage.StageDispatchers;
 import org.pimentovale.gateway.stage.StageEndpointClient;
+import org.pimentovale.gateway.stream.CheckpointedHistory;
 import org.pimentovale.gateway.stream.StreamOrigins;
 import org.pimentovale.gateway.suspect.SuspectTracker;
 import org.pimentovale.kernel.serving.ServingConfiguration;
 import org.pimentovale.kernel.serving.ServingService;
 import org.pimentovale.kernel.shutdown.ShutdownAdmission;
+import org.pimentovale.kernel.stream.BuildHistory;
+import org.pimentovale.kernel.stream.RouteHistory;
 import org.pimentovale.kernel.time.MonotonicClock;
 import org.pimentovale.log.Events;
 import org.pimentovale.store.http.TimedHttpClient;
@@ -84,6 +87,7 @@
     private final StageDispatchers stageDispatchers;
     private final StageClient stageClient;
     private final SuspectTracker suspects;
+    private final CheckpointedHistory history;
     private final StreamOrigins origins;
     private final InstanceRegistration registration;
     private final StoreSynchronizer synchronizer;
@@ -155,7 +159,10 @@
                 this::tablesChanged,
                 registration,
                 new ConfirmedStateClient(tables.peers(), peerCalls));
-        this.origins = new StreamOrigins(tables, peerCalls, synchronizer::confirmEndpointsAndRoutes);
+        BuildHistory builds = new BuildHistory();
+        RouteHistory routes = new RouteHistory();
+        this.history = new CheckpointedHistory(tables, store, platform.objectReader(), synchronizer, builds, routes);
+        this.origins = new StreamOrigins(tables, peerCalls, builds, routes, history::confirm);
         RequestServices services = new RequestServices(
                 vertx,
                 endpointClient,
@@ -263,7 +270,10 @@
                     synchronizer.start();
                     monitor.start();
                     suspects.start();
-                    observationTimer = vertx.setPeriodic(OBSERVATION_INTERVAL_MS, fired -> observeTables());
+                    observationTimer = vertx.setPeriodic(OBSERVATION_INTERVAL_MS, fired -> {
+                        observeTables();
+                        history.storePeriodically();
+                    });
                     registration.register(new InstanceRecord(self.name(), peerAddress, self.zone()));
                     Events.info(
                             LOG,
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -129,6 +129,16 @@
         return confirmations.request();
     }
 
+    /** Returns the revision up to which all changes are applied. */
+    StoreRevision revision() {
+        return history.revision();
+    }
+
+    /** Adds known time before the first list to the coverage, unless that does not reach back to it. */
+    boolean addEarlierCoverage(long earlierMs) {
+        return coverage.addEarlier(earlierMs);
+    }
+
     /**
      * Replaces the current watch by one that returns at once; if the history is lost, the list that follows confirms as
      * well. Fails while a list is in progress, since it may have begun before the request.
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
@@ -18,6 +18,7 @@
 import org.pimentovale.gateway.port.PlatformStore;
 import org.pimentovale.gateway.suspect.SuspectTracker;
 import org.pimentovale.kernel.directory.EndpointRecord;
+import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.serving.ServingConfiguration;
 import org.pimentovale.log.Events;
 
@@ -185,11 +186,33 @@
     }
 
     private Future<Long> confirm(ObjectKind kind) {
-        return feeds.stream()
-                .filter(feed -> feed.kind() == kind)
-                .findAny()
-                .orElseThrow()
-                .confirm();
+        return feed(kind).confirm();
+    }
+
+    private ObjectFeed feed(ObjectKind kind) {
+        return feeds.stream().filter(feed -> feed.kind() == kind).findAny().orElseThrow();
+    }
+
+    /**
+     * Returns the revision up to which all changes of a kind are applied.
+     *
+     * @param kind the kind
+     * @return the revision, {@link StoreRevision#NONE} before the first list
+     */
+    public StoreRevision revision(ObjectKind kind) {
+        return feed(kind).revision();
+    }
+
+    /**
+     * Adds time before the first lists to what {@link #confirmEndpointsAndRoutes} returns.
+     *
+     * @param earlierMs the time over which all changes are known by other means, in milliseconds
+     * @return whether all changes since the first lists are known
+     */
+    public boolean addEarlierCoverage(long earlierMs) {
+        boolean endpoints = feed(ObjectKind.ENDPOINTS).addEarlierCoverage(earlierMs);
+        boolean configuration = feed(ObjectKind.CONFIGURATION).addEarlierCoverage(earlierMs);
+        return endpoints && configuration;
     }
 
     /** Starts all feeds. */
--- a/gateway/src/main/java/org/pimentovale/gateway/port/PlatformStore.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/PlatformStore.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import java.util.Optional;
 import org.pimentovale.kernel.quarantine.SuspectKey;
+import org.pimentovale.kernel.stream.HistoryCheckpoint;
 
 /** Access to the platform's object store. Every call completes within a bounded time. Thread safe. */
 public interface PlatformStore {
@@ -50,6 +51,21 @@
      */
     Future<Void> storeQuarantine(SuspectKey key);
 
+    /**
+     * Replaces the checkpoint of the history of builds and routes, of which there is one.
+     *
+     * @param checkpoint the checkpoint
+     * @return completes when it is written
+     */
+    Future<Void> storeCheckpoint(HistoryCheckpoint checkpoint);
+
+    /**
+     * Reads the checkpoint of the history of builds and routes.
+     *
+     * @return the checkpoint, empty if there is none or its content is not valid
+     */
+    Future<Optional<HistoryCheckpoint>> readCheckpoint();
+
     /**
      * Removes the object of a key that is not quarantined any more.
      *
--- a/gateway/src/main/java/org/pimentovale/gateway/stream/StreamOrigins.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stream/StreamOrigins.java
@@ -46,20 +46,29 @@
     private final TimedHttpClient peerClient;
     private final Supplier<Future<Long>> confirmation;
     private final StreamOriginTable origins = new StreamOriginTable();
-    private final BuildHistory builds = new BuildHistory();
-    private final RouteHistory routes = new RouteHistory();
+    private final BuildHistory builds;
+    private final RouteHistory routes;
 
     /**
      * Creates a memory without origins.
      *
      * @param tables provides the time, the peers and the endpoints
      * @param peerClient sends requests to peers
+     * @param builds receives the listed builds
+     * @param routes receives the routes in force
      * @param confirmation asks the store for the changes of endpoints and of the configuration up to now; returns how
      *     long all changes are known without a gap, in milliseconds, and fails if the store does not respond
      */
-    public StreamOrigins(GatewayTables tables, TimedHttpClient peerClient, Supplier<Future<Long>> confirmation) {
+    public StreamOrigins(
+            GatewayTables tables,
+            TimedHttpClient peerClient,
+            BuildHistory builds,
+            RouteHistory routes,
+            Supplier<Future<Long>> confirmation) {
         this.tables = tables;
         this.peerClient = peerClient;
+        this.builds = builds;
+        this.routes = routes;
         this.confirmation = confirmation;
     }
 
@@ -154,7 +163,7 @@
                 origins.find(question.attempt()),
                 builds.recentBuilds(question.service(), nowMs - windowMs),
                 observedMs,
-                confirmedMs.map(coveredMs -> Math.min(coveredMs, observedMs)),
+                confirmedMs.map(coveredMs -> Math.min(coveredMs, builds.knownMs(nowMs))),
                 Optional.of(origins.isRelayed(question.attempt())),
                 Optional.of(windowMs),
                 recentServices(question, nowMs - windowMs));
--- a/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmupStore.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmupStore.java
@@ -22,6 +22,7 @@
 import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.quarantine.SuspectKey;
 import org.pimentovale.kernel.serving.ServingConfiguration;
+import org.pimentovale.kernel.stream.HistoryCheckpoint;
 
 /**
  * An in-memory store for the warm-up: a fixed configuration with its endpoints, and the gateways that register.
@@ -82,6 +83,16 @@
         return Future.succeededFuture();
     }
 
+    @Override
+    public Future<Void> storeCheckpoint(HistoryCheckpoint checkpoint) {
+        return Future.succeededFuture();
+    }
+
+    @Override
+    public Future<Optional<HistoryCheckpoint>> readCheckpoint() {
+        return Future.succeededFuture(Optional.empty());
+    }
+
     @Override
     public Future<Void> storeQuarantine(SuspectKey key) {
         return Future.succeededFuture();
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/FeedConfirmationTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/FeedConfirmationTest.java
@@ -31,6 +31,7 @@
 import org.pimentovale.gateway.port.PlatformStore;
 import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.quarantine.SuspectKey;
+import org.pimentovale.kernel.stream.HistoryCheckpoint;
 
 /** Verifies that a feed is confirmed only by a response to a request that was sent after the question. */
 class FeedConfirmationTest {
@@ -76,6 +77,16 @@
             return Future.succeededFuture();
         }
 
+        @Override
+        public Future<Void> storeCheckpoint(HistoryCheckpoint checkpoint) {
+            return Future.succeededFuture();
+        }
+
+        @Override
+        public Future<Optional<HistoryCheckpoint>> readCheckpoint() {
+            return Future.succeededFuture(Optional.empty());
+        }
+
         @Override
         public Future<Void> storeQuarantine(SuspectKey key) {
             return Future.succeededFuture();
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/InstanceRegistrationTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/InstanceRegistrationTest.java
@@ -17,6 +17,7 @@
 import org.pimentovale.gateway.port.ObjectPage;
 import org.pimentovale.gateway.port.PlatformStore;
 import org.pimentovale.kernel.quarantine.SuspectKey;
+import org.pimentovale.kernel.stream.HistoryCheckpoint;
 
 class InstanceRegistrationTest {
     private static final InstanceRecord SELF = new InstanceRecord("gateway-1", "127.0.0.1:1", "north");
@@ -59,6 +60,16 @@
             throw new AssertionError(kind);
         }
 
+        @Override
+        public Future<Void> storeCheckpoint(HistoryCheckpoint checkpoint) {
+            return Future.succeededFuture();
+        }
+
+        @Override
+        public Future<Optional<HistoryCheckpoint>> readCheckpoint() {
+            return Future.succeededFuture(Optional.empty());
+        }
+
         @Override
         public Future<Void> storeQuarantine(SuspectKey key) {
             throw new AssertionError(key);
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
@@ -26,6 +26,7 @@
 import org.pimentovale.gateway.port.PlatformStore;
 import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.quarantine.SuspectKey;
+import org.pimentovale.kernel.stream.HistoryCheckpoint;
 
 class ObjectFeedTest {
     private static final FeedClocks CLOCKS =
@@ -55,6 +56,16 @@
             return Future.succeededFuture();
         }
 
+        @Override
+        public Future<Void> storeCheckpoint(HistoryCheckpoint checkpoint) {
+            return Future.succeededFuture();
+        }
+
+        @Override
+        public Future<Optional<HistoryCheckpoint>> readCheckpoint() {
+            return Future.succeededFuture(Optional.empty());
+        }
+
         @Override
         public Future<Void> storeQuarantine(SuspectKey key) {
             return Future.succeededFuture();
--- a/kernel/src/main/java/org/pimentovale/kernel/history/ChangeCoverage.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/history/ChangeCoverage.java
@@ -11,11 +11,13 @@
  * that time is short by both clocks. A response may have waited in the process's buffers while the process was
  * suspended, so what counts is the moment up to which it is certainly valid, not the one at which it was read.
  *
- * <p>Invariant: the coverage never exceeds the time that the monotonic clock counted. Not thread safe.
+ * <p>Invariant: the coverage never exceeds the time that the monotonic clock counted and the known time before it. Not
+ * thread safe.
  */
 public final class ChangeCoverage {
     private final long maxGapMs;
     private long sinceMs;
+    private int beginnings;
     private Optional<ClockReading> validUntil = Optional.empty();
 
     /**
@@ -39,6 +41,7 @@
                 .isPresent();
         if (!continued) {
             sinceMs = received.monotonicMs();
+            beginnings++;
         }
         validUntil = Optional.of(sent);
     }
@@ -52,6 +55,20 @@
         validUntil = Optional.of(until);
     }
 
+    /**
+     * Adds the time before the first list. Does nothing if the coverage does not reach back to that list.
+     *
+     * @param earlierMs the time before the first list over which all changes are known, in milliseconds
+     * @return whether the coverage reaches back to the first list
+     */
+    public boolean addEarlier(long earlierMs) {
+        boolean sinceFirstList = beginnings == 1;
+        if (sinceFirstList) {
+            sinceMs -= earlierMs;
+        }
+        return sinceFirstList;
+    }
+
     /**
      * Returns the time over which all changes are known, up to the moment for which the last response is valid.
      *
--- a/kernel/src/main/java/org/pimentovale/kernel/stream/RouteHistory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/stream/RouteHistory.java
@@ -14,13 +14,16 @@
  */
 public final class RouteHistory {
     private final List<Period> periods = new ArrayList<>();
+    private boolean changed;
 
     private static final class Period {
         private final ServingConfiguration routes;
+        private final long firstInForceMs;
         private long lastInForceMs;
 
         private Period(ServingConfiguration routes, long nowMs) {
             this.routes = routes;
+            this.firstInForceMs = nowMs;
             this.lastInForceMs = nowMs;
         }
     }
@@ -39,6 +42,7 @@
             if (latest.routes.routes().equals(active.routes())) {
                 return;
             }
+            changed = true;
         }
         periods.add(new Period(routesOf(active), nowMs));
     }
@@ -48,6 +52,21 @@
         return new ServingConfiguration(full.version(), full.routes(), List.of(), List.of(), full.limits());
     }
 
+    /**
+     * Returns how long the routes in force have been the same.
+     *
+     * @param earlierMs the time before the first observation in which no route changed, in milliseconds
+     * @param nowMs the current time in milliseconds
+     * @return milliseconds, zero before the first observation
+     */
+    public long unchangedMs(long earlierMs, long nowMs) {
+        if (periods.isEmpty()) {
+            return 0;
+        }
+        long latestMs = nowMs - periods.get(periods.size() - 1).firstInForceMs;
+        return changed ? latestMs : latestMs + earlierMs;
+    }
+
     /**
      * Returns the longest time that a stream of a path may have lasted by now, under any route that it has had lately.
      *
--- a/kernel/src/test/java/org/pimentovale/kernel/history/ChangeCoverageTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/history/ChangeCoverageTest.java
@@ -29,6 +29,37 @@
         assertThat(coverage.coveredMs()).isEqualTo(20_000);
     }
 
+    @Nested
+    class KnownTimeBeforeTheFirstList {
+        @Test
+        void isAddedWhileTheCoverageReachesBackToThatList() {
+            coverage.recordList(START, START);
+            coverage.recordChanges(START.plusMs(100));
+
+            assertThat(coverage.addEarlier(40_000)).isTrue();
+            assertThat(coverage.coveredMs()).isEqualTo(40_100);
+        }
+
+        @Test
+        void isNotAddedBeforeTheFirstListOrAfterAGap() {
+            assertThat(coverage.addEarlier(40_000)).isFalse();
+            coverage.recordList(START, START);
+            coverage.recordList(START.plusMs(MAX_GAP_MS + 1), START.plusMs(MAX_GAP_MS + 2));
+
+            assertThat(coverage.addEarlier(40_000)).isFalse();
+            assertThat(coverage.coveredMs()).isEqualTo(0);
+        }
+
+        @Test
+        void endsWithTheNextGap() {
+            coverage.recordList(START, START);
+            coverage.addEarlier(40_000);
+            coverage.recordList(START.plusMs(MAX_GAP_MS + 1), START.plusMs(MAX_GAP_MS + 2));
+
+            assertThat(coverage.coveredMs()).isEqualTo(0);
+        }
+    }
+
     @Nested
     class AnotherList {
         private final ClockReading lastChanges = START.plusMs(10_000);
--- a/kernel/src/test/java/org/pimentovale/kernel/stream/RouteHistoryTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/stream/RouteHistoryTest.java
@@ -73,6 +73,18 @@
         assertThat(history.longestWindowMs(HOST, "/a/1", 41_001)).isEqualTo(0);
     }
 
+    @Test
+    void tellsForHowLongNoRouteHasChanged() {
+        assertThat(history.unchangedMs(1_000, 0)).isEqualTo(0);
+        observe(100, route("/a/", "first"));
+        observe(400, route("/a/", "first"));
+
+        assertThat(history.unchangedMs(0, 500)).isEqualTo(400);
+        assertThat(history.unchangedMs(1_000, 500)).isEqualTo(1_400);
+        observe(600, route("/a/", "second"));
+        assertThat(history.unchangedMs(1_000, 650)).isEqualTo(50);
+    }
+
     @Test
     void aRouteIsForgottenAfterTheRetentionTime() {
         observe(0, route("/a/", "old"));
--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
@@ -251,7 +251,9 @@
         }
         String[] path = request.path().split("/", -1);
         String kind = path[2];
-        if (request.method().equals(HttpMethod.GET)) {
+        if (request.method().equals(HttpMethod.GET) && path.length > 3) {
+            get(request, kind, path[3]);
+        } else if (request.method().equals(HttpMethod.GET)) {
             listOrWatch(request, kind);
         } else if (request.method().equals(HttpMethod.POST)) {
             create(request, kind, body.toJsonObject());
@@ -264,6 +266,15 @@
         }
     }
 
+    private void get(HttpServerRequest request, String kind, String name) {
+        JsonObject object = objects(kind).get(name);
+        if (object == null) {
+            request.response().setStatusCode(404).end();
+        } else {
+            request.response().end(encode(object));
+        }
+    }
+
     private void create(HttpServerRequest request, String kind, JsonObject object) {
         String name = object.getJsonObject("metadata").getString("name");
         if (objects(kind).containsKey(name)) {
