--- a/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmup.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmup.java
@@ -46,8 +46,6 @@
     static final String HOST = "127.0.0.1";
 
     private static final Logger LOG = Logger.getLogger(JitWarmup.class);
-    private static final int REQUESTS = 250;
-    private static final long MAX_DURATION_MS = 20_000;
     private static final int BUSY_CHECK_INTERVAL_MS = 20;
     private static final int REQUEST_TIMEOUT_MS = 4_000;
     private static final int GOAL_MS = 2_000;
@@ -59,6 +57,14 @@
     private static final List<Integer> PIECES = List.of(2, 3);
     private static final PieceLimits PIECE_LIMITS = new PieceLimits(1, 8, 1, 0.1, 10, 4);
 
+    /**
+     * The outcome of a warm-up.
+     *
+     * @param sent the number of requests that were sent
+     * @param answered the number of those that got a response with status 200
+     */
+    public record Result(int sent, int answered) {}
+
     private final Vertx vertx;
     private final ServingPlatform platform;
     private final MonotonicClock clock;
@@ -67,6 +73,7 @@
     private final TimedHttpClient callerClient;
     private final RandomGenerator random;
     private List<Gateway> gateways = List.of();
+    private JitWarmupProgress progress;
     private long startedMs;
     private int sentCount;
     private int completedCount;
@@ -95,10 +102,11 @@
     /**
      * Runs the warm-up and then closes its gateways and its endpoint.
      *
-     * @return the number of requests that got a response with status 200; never fails
+     * @return what was sent and answered; never fails
      */
-    public Future<Integer> run() {
+    public Future<Result> run() {
         startedMs = clock.nowMs();
+        progress = new JitWarmupProgress(startedMs);
         return endpoint.start()
                 .compose(this::startGateways)
                 .compose(started -> sendNext())
@@ -122,7 +130,7 @@
                 EPHEMERAL_ADDRESS,
                 EPHEMERAL_ADDRESS,
                 REQUEST_TIMEOUT_MS,
-                new RetryBudgetSettings(1, REQUESTS, REQUEST_TIMEOUT_MS),
+                new RetryBudgetSettings(1, JitWarmupProgress.MAX_REQUESTS, REQUEST_TIMEOUT_MS),
                 "INFO");
         return new Gateway(vertx, settings, warmupPlatform, clock, random);
     }
@@ -171,7 +179,7 @@
     }
 
     private Future<Void> sendNext() {
-        if (sentCount >= REQUESTS || clock.nowMs() - startedMs >= MAX_DURATION_MS) {
+        if (progress.done(clock.nowMs())) {
             return Future.succeededFuture();
         }
         if (busy.getAsBoolean()) {
@@ -179,7 +187,10 @@
         }
         // The timer returns to the event loop between two requests, so that callers' requests are handled and the chain
         // of futures does not nest.
-        return send().transform(ended -> vertx.timer(1)).compose(fired -> sendNext());
+        long sentMs = clock.nowMs();
+        return send().onComplete(ended -> progress.record(clock.nowMs() - sentMs))
+                .transform(ended -> vertx.timer(1))
+                .compose(fired -> sendNext());
     }
 
     private Future<Void> send() {
@@ -201,7 +212,7 @@
                 .mapEmpty();
     }
 
-    private Future<Integer> close(String outcome) {
+    private Future<Result> close(String outcome) {
         gateways.forEach(Gateway::close);
         endpoint.close();
         Events.info(
@@ -215,6 +226,6 @@
                 clock.nowMs() - startedMs,
                 "outcome",
                 outcome);
-        return Future.succeededFuture(completedCount);
+        return Future.succeededFuture(new Result(sentCount, completedCount));
     }
 }
