--- a/gateway/src/main/java/org/pimentovale/gateway/endpoint/EndpointResponseObserver.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/endpoint/EndpointResponseObserver.java
@@ -1,5 +1,7 @@
 package org.pimentovale.gateway.endpoint;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.jboss.logging.Logger;
 import org.pimentovale.gateway.GatewayTables;
 import org.pimentovale.gateway.limit.RequestPermits;
@@ -63,33 +65,21 @@
     }
 
     private void recordLeaving(EndpointRecord target, ResponseHead head) {
-        if (!tables.endpoints().recordLeaving(target, tables.nowMs())) {
-            return;
+        if (tables.endpoints().recordLeaving(target, tables.nowMs())) {
+            metrics.recordEndpointNotice(target.service(), "leaving");
+            log("endpoint_leaving", target, head.status());
         }
-        metrics.recordEndpointNotice(target.service(), "leaving");
-        Events.info(
-                LOG,
-                "endpoint_leaving",
-                "endpoint",
-                target.identifier(),
-                "started_ms",
-                target.startedMs(),
-                "service",
-                target.service(),
-                "source",
-                "response",
-                "status",
-                head.status());
     }
 
     private void recordTurnedAway(EndpointRecord target, int status, long delayMs) {
-        if (!tables.endpoints().recordTurnedAway(target, delayMs, tables.nowMs())) {
-            return;
+        if (tables.endpoints().recordTurnedAway(target, delayMs, tables.nowMs())) {
+            metrics.recordEndpointNotice(target.service(), "turned-away");
+            log("endpoint_turned_away", target, status, "delay_ms", delayMs);
         }
-        metrics.recordEndpointNotice(target.service(), "turned-away");
-        Events.info(
-                LOG,
-                "endpoint_turned_away",
+    }
+
+    private static void log(String event, EndpointRecord target, int status, Object... details) {
+        List<Object> line = new ArrayList<>(List.of(
                 "endpoint",
                 target.identifier(),
                 "started_ms",
@@ -99,8 +89,8 @@
                 "source",
                 "response",
                 "status",
-                status,
-                "delay_ms",
-                delayMs);
+                status));
+        line.addAll(List.of(details));
+        Events.info(LOG, event, line.toArray());
     }
 }
--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
@@ -17,6 +17,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -42,6 +43,7 @@
     private final AtomicLong endlessBytes = new AtomicLong();
     private Optional<EndlessResponse> endlessResponse = Optional.empty();
     private boolean streamsForPathDuration;
+    private OptionalInt trickleIntervalMs = OptionalInt.empty();
     private final Set<NetSocket> connections = ConcurrentHashMap.newKeySet();
     private final CompletableFuture<Void> firstDisconnect = new CompletableFuture<>();
     private EndpointBehaviour defaultBehaviour = EndpointBehaviour.RESPOND;
@@ -143,6 +145,15 @@
         streamsForPathDuration = true;
     }
 
+    /**
+     * Makes the endpoint stream one event for each request and then a byte of a comment now and then, without an end.
+     *
+     * @param intervalMs the time between two bytes, in milliseconds
+     */
+    public synchronized void trickleAfterOneEvent(int intervalMs) {
+        trickleIntervalMs = OptionalInt.of(intervalMs);
+    }
+
     /**
      * Returns how much of endless responses has been accepted by the connections so far.
      *
@@ -284,6 +295,10 @@
                     lastPathSegment(request.requestLine()),
                     fired -> EndpointBehaviour.RESPOND.respond(
                             socket, request.headers().get("x-attempt-id")));
+        } else if (trickleIntervalMs.isPresent()) {
+            socket.write(EndpointBehaviour.streamHead(request.headers().getOrDefault("x-attempt-id", ""))
+                    + EndpointBehaviour.chunk("id: 1\ndata: one\n\n"));
+            trickle(socket, trickleIntervalMs.getAsInt());
         } else if (streamsForPathDuration) {
             new PacedStream(vertx, socket, request.headers().getOrDefault("x-attempt-id", ""))
                     .run(lastPathSegment(request.requestLine()));
@@ -300,6 +315,15 @@
         }
     }
 
+    private void trickle(NetSocket socket, int intervalMs) {
+        vertx.setTimer(intervalMs, fired -> {
+            if (connections.contains(socket)) {
+                socket.write(EndpointBehaviour.chunk(":"));
+                trickle(socket, intervalMs);
+            }
+        });
+    }
+
     private static long lastPathSegment(String requestLine) {
         String path = requestLine.split(" ", -1)[1];
         return Long.parseLong(path.substring(path.lastIndexOf('/') + 1));
