--- a/gateway/src/main/java/org/pimentovale/gateway/endpoint/EndpointResponseObserver.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/endpoint/EndpointResponseObserver.java
@@ -14,7 +14,8 @@
 /**
  * Records what endpoints say about themselves in their responses: load, rate limits, that they are leaving, and delays.
  *
- * <p>Every response is to be observed, also one that nobody waits for any more. Not thread safe; used on one event loop.
+ * <p>Every response is to be observed, also one that nobody waits for any more. Not thread safe; used on one event
+ * loop.
  */
 public final class EndpointResponseObserver {
     private static final Logger LOG = Logger.getLogger(EndpointResponseObserver.class);
--- a/gateway/src/main/java/org/pimentovale/gateway/stream/CheckpointedHistory.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stream/CheckpointedHistory.java
@@ -22,8 +22,8 @@
  * Confirms the history of builds and routes at the store, also for the time before this gateway started.
  *
  * <p>One gateway stores a checkpoint of what it has confirmed from time to time, and each one that confirms it for a
- * stream. A gateway whose own history is too short reads the checkpoint and the changes since, and takes it over if these
- * show no other build and no change of the configuration. Invariants: at most one checkpoint is written per
+ * stream. A gateway whose own history is too short reads the checkpoint and the changes since, and takes it over if
+ * these show no other build and no change of the configuration. Invariants: at most one checkpoint is written per
  * {@link #WRITE_INTERVAL_MS} here; one is taken over at most once. Not thread safe; used on one event loop.
  */
 public final class CheckpointedHistory {
--- a/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
@@ -21,8 +21,8 @@
  * to the endpoint's incarnation: it outlasts the removal of the entry and older entries, and ends with a later
  * incarnation.
  *
- * <p>Invariant: endpoints that are draining, leaving, removed, or in a withdrawn availability zone are never usable. Not
- * thread safe; used on one event loop.
+ * <p>Invariant: endpoints that are draining, leaving, removed, or in a withdrawn availability zone are never usable.
+ * Not thread safe; used on one event loop.
  */
 public final class EndpointDirectory {
     /** How long missing entries stay usable after the store is reachable again, in milliseconds. */
--- a/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointNotices.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointNotices.java
@@ -4,8 +4,8 @@
  * What one incarnation of an endpoint said about itself in its responses: that it is leaving, or that it takes no
  * requests for some time.
  *
- * <p>Invariants: an endpoint that is leaving never serves again in the same incarnation; the time without requests never
- * becomes shorter. Not thread safe; guarded by the event loop of its directory.
+ * <p>Invariants: an endpoint that is leaving never serves again in the same incarnation; the time without requests
+ * never becomes shorter. Not thread safe; guarded by the event loop of its directory.
  */
 final class EndpointNotices {
     private static final long RAMP_UP_MS = 1_000;
--- a/kernel/src/main/java/org/pimentovale/kernel/stream/BuildHistory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/stream/BuildHistory.java
@@ -10,7 +10,8 @@
  * The software builds of each service that were listed lately.
  *
  * <p>The history contains every build to which this process may have sent a stream. What other gateways listed is in it
- * only as far as this gateway was in contact with the store, or as a {@link HistoryCheckpoint} tells. Not thread safe; used on one event loop.
+ * only as far as this gateway was in contact with the store, or as a {@link HistoryCheckpoint} tells. Not thread safe;
+ * used on one event loop.
  */
 public final class BuildHistory {
     /** The maximum time over which builds are remembered, in milliseconds. */
--- a/kernel/src/main/java/org/pimentovale/kernel/stream/HistoryCheckpoint.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/stream/HistoryCheckpoint.java
@@ -9,8 +9,8 @@
 /**
  * What a gateway knew of the builds and routes of the recent past, stored so that it outlasts the loss of all gateways.
  *
- * <p>Together with all changes since its revisions, it tells a gateway that has just started at which builds streams may
- * have begun before. Immutable and thread safe.
+ * <p>Together with all changes since its revisions, it tells a gateway that has just started at which builds streams
+ * may have begun before. Immutable and thread safe.
  *
  * @param endpoints the revision up to which the changes of endpoints were known
  * @param configuration the revision up to which the changes of the configuration were known
--- a/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
+++ b/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
@@ -18,7 +18,8 @@
  * Sends HTTP calls that end within their timeout.
  *
  * <p>A client that identifies its calls sends {@link #CALL_ID} with each of them, and a server of the same product
- * returns it. A response with another identifier belongs to an earlier call on the connection and fails the present one.
+ * returns it. A response with another identifier belongs to an earlier call on the connection and fails the present
+ * one.
  *
  * <p>A call for which no connection could be opened fails with the outcome "not run", any other with "unknown".
  *
