--- a/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointAdmission.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointAdmission.java
@@ -7,8 +7,8 @@
  * Decides whether an endpoint may get a request now.
  *
  * <p>An instance asks here before each send of a request: first sends, retries and resumed streams. Calls for pieces
- * have no cold limit and ask {@link EndpointDirectory#availability}, on which this decision is based. Invariant: an endpoint that is leaving, or whose delay has not passed, is never available. Not thread safe; used on
- * one event loop.
+ * have no cold limit and ask {@link EndpointDirectory#availability}, on which this decision is based. Invariant: an
+ * endpoint that is leaving, or whose delay has not passed, is never available. Not thread safe; used on one event loop.
  */
 public final class EndpointAdmission {
     private final EndpointDirectory directory;
