--- a/gateway/src/main/java/org/pimentovale/gateway/endpoint/EndpointResponseObserver.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/endpoint/EndpointResponseObserver.java
@@ -57,7 +57,7 @@
         if (head.leaving()) {
             recordLeaving(target, head);
         }
-        head.delayMs().ifPresent(delayMs -> recordTurnedAway(target, head.status(), delayMs));
+        head.delayMs().ifPresent(delayMs -> recordThrottled(target, head.status(), delayMs));
     }
 
     private void observe(EndpointState endpoint, ResponseHead head, boolean answered) {
@@ -72,10 +72,10 @@
         }
     }
 
-    private void recordTurnedAway(EndpointRecord target, int status, long delayMs) {
-        if (tables.endpoints().recordTurnedAway(target, delayMs, tables.nowMs())) {
-            metrics.recordEndpointNotice(target.service(), "turned-away");
-            log("endpoint_turned_away", target, status, "delay_ms", delayMs);
+    private void recordThrottled(EndpointRecord target, int status, long delayMs) {
+        if (tables.endpoints().recordThrottled(target, delayMs, tables.nowMs())) {
+            metrics.recordEndpointNotice(target.service(), "throttled");
+            log("endpoint_throttled", target, status, "delay_ms", delayMs);
         }
     }
 
--- a/gateway/src/main/java/org/pimentovale/gateway/metric/GatewayMetrics.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/metric/GatewayMetrics.java
@@ -117,7 +117,7 @@
      * Counts a notice of an endpoint in one of its responses.
      *
      * @param service the endpoint's service
-     * @param notice "leaving", "turned-away", or "unreadable-" and the name of the header
+     * @param notice "leaving", "throttled", or "unreadable-" and the name of the header
      */
     public void recordEndpointNotice(String service, String notice) {
         endpointNotices.labelValues(service, notice).inc();
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageEndpointClient.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageEndpointClient.java
@@ -164,7 +164,7 @@
         if (availability == Availability.LEAVING) {
             return; // its results are gone soon
         }
-        if (availability == Availability.TURNED_AWAY) {
+        if (availability == Availability.THROTTLED) {
             releaseLater(target.get(), handles, released);
             return;
         }
--- a/kernel/src/main/java/org/pimentovale/kernel/directory/Availability.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/Availability.java
@@ -13,9 +13,9 @@
     /** The endpoint's availability zone is withdrawn. */
     ZONE_WITHDRAWN(false),
     /** The endpoint refused a request and named a delay that has not passed. */
-    TURNED_AWAY(true),
+    THROTTLED(true),
     /** The endpoint takes requests again after a delay, and as many as it may get at first are running. */
-    RAMPING_UP(true),
+    SLOW_START(true),
     /** No permit is expected within the rate limit that the endpoint named. */
     RATE_LIMITED(true),
     /** The endpoint is cold and this instance has used its part of the rate that it tolerates. */
--- a/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
@@ -198,12 +198,12 @@
             return listed;
         }
         Optional<EndpointNotices> said = notices.find(endpoint.latest());
-        if (said.filter(notice -> notice.turnedAwayMs(nowMs) > 0).isPresent()) {
-            return Availability.TURNED_AWAY;
+        if (said.filter(notice -> notice.throttledMs(nowMs) > 0).isPresent()) {
+            return Availability.THROTTLED;
         }
-        if (said.filter(notice -> !notice.hasRampedUp(endpoint.runningCalls(), nowMs))
+        if (said.filter(notice -> !notice.allowsInSlowStart(endpoint.runningCalls(), nowMs))
                 .isPresent()) {
-            return Availability.RAMPING_UP;
+            return Availability.SLOW_START;
         }
         return endpoint.withheldMs(nowMs) > 0 ? Availability.RATE_LIMITED : Availability.AVAILABLE;
     }
@@ -227,12 +227,12 @@
      *
      * @param endpoint the endpoint
      * @param nowMs the current time in milliseconds
-     * @return milliseconds, empty unless the endpoint is {@link Availability#TURNED_AWAY} or
-     *     {@link Availability#RAMPING_UP}
+     * @return milliseconds, empty unless the endpoint is {@link Availability#THROTTLED} or
+     *     {@link Availability#SLOW_START}
      */
     public OptionalLong returnMs(EndpointState endpoint, long nowMs) {
         Availability availability = availability(endpoint, nowMs);
-        return availability == Availability.TURNED_AWAY || availability == Availability.RAMPING_UP
+        return availability == Availability.THROTTLED || availability == Availability.SLOW_START
                 ? OptionalLong.of(notices.find(endpoint.latest()).orElseThrow().returnMs(nowMs))
                 : OptionalLong.empty();
     }
@@ -258,9 +258,9 @@
      * @param nowMs the current time in milliseconds
      * @return whether that prolongs the time known before
      */
-    public boolean recordTurnedAway(EndpointRecord incarnation, long delayMs, long nowMs) {
+    public boolean recordThrottled(EndpointRecord incarnation, long delayMs, long nowMs) {
         return openNotices(incarnation, nowMs)
-                .map(notice -> notice.recordTurnedAway(delayMs, nowMs))
+                .map(notice -> notice.recordThrottled(delayMs, nowMs))
                 .orElse(false);
     }
 
--- a/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointNotices.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointNotices.java
@@ -8,13 +8,13 @@
  * never becomes shorter. Not thread safe; guarded by the event loop of its directory.
  */
 final class EndpointNotices {
-    private static final long RAMP_UP_MS = 1_000;
-    private static final long RAMP_UP_STEP_MS = 50;
+    private static final long SLOW_START_MS = 1_000;
+    private static final long SLOW_START_STEP_MS = 50;
 
     private final String address;
     private final long startedMs;
     private boolean leaving;
-    private long turnedAwayUntilMs = Long.MIN_VALUE;
+    private long throttledUntilMs = Long.MIN_VALUE;
     private long recordedAtMs;
 
     EndpointNotices(EndpointRecord incarnation) {
@@ -46,32 +46,32 @@
     }
 
     /** Records that the endpoint takes no requests for a time. Returns whether that prolongs the time known before. */
-    boolean recordTurnedAway(long delayMs, long nowMs) {
+    boolean recordThrottled(long delayMs, long nowMs) {
         recordedAtMs = nowMs;
-        boolean prolonged = nowMs + delayMs > turnedAwayUntilMs;
-        turnedAwayUntilMs = Math.max(turnedAwayUntilMs, nowMs + delayMs);
+        boolean prolonged = nowMs + delayMs > throttledUntilMs;
+        throttledUntilMs = Math.max(throttledUntilMs, nowMs + delayMs);
         return prolonged;
     }
 
     /** Returns the time for which the endpoint takes no requests, in milliseconds, zero if it takes some. */
-    long turnedAwayMs(long nowMs) {
-        return turnedAwayUntilMs > nowMs ? turnedAwayUntilMs - nowMs : 0;
+    long throttledMs(long nowMs) {
+        return throttledUntilMs > nowMs ? throttledUntilMs - nowMs : 0;
     }
 
     /**
      * Tells whether the endpoint may get another request after the time for which it took none. The concurrent requests
      * rise step by step, so that the traffic of all instances does not return at the same moment.
      */
-    boolean hasRampedUp(int runningCalls, long nowMs) {
-        if (turnedAwayUntilMs == Long.MIN_VALUE || nowMs - turnedAwayUntilMs >= RAMP_UP_MS) {
+    boolean allowsInSlowStart(int runningCalls, long nowMs) {
+        if (throttledUntilMs == Long.MIN_VALUE || nowMs - throttledUntilMs >= SLOW_START_MS) {
             return true;
         }
-        return runningCalls <= (nowMs - turnedAwayUntilMs) / RAMP_UP_STEP_MS;
+        return runningCalls <= (nowMs - throttledUntilMs) / SLOW_START_STEP_MS;
     }
 
-    /** Returns the time until another request may be sent, at least one step of the ramp-up, in milliseconds. */
+    /** Returns the time until another request may be sent, at least one step of the slow start, in milliseconds. */
     long returnMs(long nowMs) {
-        return Math.max(turnedAwayMs(nowMs), RAMP_UP_STEP_MS);
+        return Math.max(throttledMs(nowMs), SLOW_START_STEP_MS);
     }
 
     /** Returns the time of the latest notice, in milliseconds. */
