--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -18,6 +18,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -29,6 +30,8 @@
     static final String LOOPBACK = "127.0.0.1";
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
+    private static final int FIRST_PORT = 12_000;
+    private static final int LAST_PORT = 32_000;
     private static final long START_NANOS = System.nanoTime();
     private static final List<Process> PROCESSES = new ArrayList<>();
     private static PrintWriter record;
@@ -118,9 +121,15 @@
         return new ServerSocket(0, 1024, InetAddress.getByName(LOOPBACK));
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = listen()) {
-            return socket.getLocalPort();
+    /** Returns a port that is free and is not given to outgoing connections, which are many. */
+    static int freePort() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(LOOPBACK))) {
+                return socket.getLocalPort();
+            } catch (IOException taken) {
+                // Another port is tried.
+            }
         }
     }
 
@@ -232,7 +241,7 @@
         private final int store;
         private Process process;
 
-        Gateway(String name, String zone, int store) throws IOException {
+        Gateway(String name, String zone, int store) {
             this.name = name;
             this.zone = zone;
             this.store = store;
@@ -287,7 +296,8 @@
                 }
                 Thread.sleep(50);
             }
-            throw new IllegalStateException(name + " is not ready");
+            Files.readAllLines(output()).stream().limit(5).forEach(Rig::note);
+            throw new IllegalStateException(name + " is not ready, process " + (alive() ? "runs" : "has ended"));
         }
 
         boolean alive() {
