--- a/review/rig/LateGrace.java
+++ b/review/rig/LateGrace.java
@@ -1,4 +1,5 @@
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
 /** An engine leaves right after two gateways, which the store had left without an answer, are in touch again. */
@@ -53,9 +54,12 @@
         List<Engine.Arrival> late = leaving.arrivals().stream()
                 .filter(arrival -> arrival.atMs() > boundMs)
                 .toList();
-        late.stream().findFirst().ifPresent(arrival -> Rig.note(leaving.id + " ran " + arrival.attempt() + " "
-                + (arrival.atMs() - leftMs) + " ms after its removal was acknowledged"));
-        Rig.note("requests that " + leaving.id + " ran too late: " + late.size());
+        String latest = late.stream()
+                .max(Comparator.comparingLong(Engine.Arrival::atMs))
+                .map(arrival -> ", the last one " + arrival.attempt() + ", " + (arrival.atMs() - leftMs)
+                        + " ms after its removal was acknowledged")
+                .orElse("");
+        Rig.note("requests that " + leaving.id + " ran too late: " + late.size() + latest);
         return late.size();
     }
 }
