--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -17,7 +17,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -33,6 +35,7 @@
     private static final int FIRST_PORT = 12_000;
     private static final int LAST_PORT = 32_000;
     private static final long START_NANOS = System.nanoTime();
+    private static final Set<Integer> GIVEN_PORTS = ConcurrentHashMap.newKeySet();
     private static final List<Process> PROCESSES = new ArrayList<>();
     private static PrintWriter record;
     private static Path directory;
@@ -121,10 +124,13 @@
         return new ServerSocket(0, 1024, InetAddress.getByName(LOOPBACK));
     }
 
-    /** Returns a port that is free and is not given to outgoing connections, which are many. */
+    /** Returns a free port, each one once, of a range that is not used for outgoing connections, which are many. */
     static int freePort() {
         while (true) {
             int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            if (!GIVEN_PORTS.add(port)) {
+                continue;
+            }
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(LOOPBACK))) {
                 return socket.getLocalPort();
             } catch (IOException taken) {
