Ask a silent store with requests that do not wait, so that its return is noticed

Cause: after a lost watch the next request waited for changes again, so one that was lost as well was given up after 2,600 ms, and the delay before the next one was up to 1,200 ms: 3.8 s in all. Change: while the store is unavailable, requests return at once: 600 ms and at most 1,200 ms. Idle connections to the store are closed after a second, since the next request may otherwise take another silent one.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -66,6 +66,8 @@
     private static final int MAX_STORE_CONNECTIONS = 16;
     private static final int MAX_RELEASE_CONNECTIONS_PER_HOST = 2;
     private static final int KEEP_ALIVE_TIMEOUT_SECONDS = 20;
+    // Watches use their connections without a pause; another one may have gone silent unnoticed.
+    private static final int STORE_KEEP_ALIVE_TIMEOUT_SECONDS = 1;
     private static final int MAX_HEADER_BYTES = 64 * 1_024;
     private static final int ACCEPT_BACKLOG = 1_024;
     private static final int OBSERVATION_INTERVAL_MS = 1_000;
@@ -122,7 +124,7 @@
         this.self = new InstanceRecord(settings.name(), settings.peerAddress(), settings.zone());
         this.tables = new GatewayTables(clock, new PeerTable(self), settings.retry());
         PlatformStore store = platform.openStore(
-                newTimedClient(true, MAX_STORE_CONNECTIONS, ErrorCode.STORE_UNAVAILABLE),
+                new TimedHttpClient(vertx, newStoreClient(), ErrorCode.STORE_UNAVAILABLE),
                 settings.storeAddress(),
                 rejectedObjects);
         TimedHttpClient endpointCalls = newTimedClient(false, MAX_CONNECTIONS_PER_HOST, ErrorCode.CONNECTION_LOST);
@@ -204,8 +206,17 @@
         return new TimedHttpClient(vertx, newClient(keepConnections, connections), failureCode);
     }
 
+    private HttpClient newStoreClient() {
+        return newClient(
+                clientOptions(true).setKeepAliveTimeout(STORE_KEEP_ALIVE_TIMEOUT_SECONDS), MAX_STORE_CONNECTIONS);
+    }
+
     private HttpClient newClient(boolean keepConnections, int connections) {
-        HttpClient client = vertx.createHttpClient(clientOptions(keepConnections), poolOptions(connections));
+        return newClient(clientOptions(keepConnections), connections);
+    }
+
+    private HttpClient newClient(HttpClientOptions options, int connections) {
+        HttpClient client = vertx.createHttpClient(options, poolOptions(connections));
         clients.add(client);
         return client;
     }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
@@ -17,11 +18,13 @@
 import org.pimentovale.gateway.port.ObjectEntry;
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectPage;
+import org.pimentovale.gateway.port.PendingWatch;
 import org.pimentovale.gateway.port.PlatformStore;
 import org.pimentovale.kernel.history.ChangeCoverage;
 import org.pimentovale.kernel.history.ListVerdict;
 import org.pimentovale.kernel.history.ObjectHistory;
 import org.pimentovale.kernel.history.ObjectWrite;
+import org.pimentovale.kernel.history.StoreOutage;
 import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.time.ClockReading;
 import org.pimentovale.log.Events;
@@ -31,7 +34,8 @@
  * the changes.
  *
  * <p>A watch request that ends without a response indicates a dead connection or an unavailable store; the next request
- * uses a new connection and continues after the last revision. When the store was restored from a backup, the kind is
+ * uses a new connection and continues after the last revision. Until one is answered, requests do not wait for changes,
+ * so that the end of an outage is noticed soon. When the store was restored from a backup, the kind is
  * listed, and listed again once the writers had time to write again.
  *
  * <p>Invariant: within an era, the listener never receives a revision older than one it has received; of an earlier era
@@ -40,8 +44,6 @@
 public final class ObjectFeed {
     private static final Logger LOG = Logger.getLogger(ObjectFeed.class);
     private static final int CHECK_WAIT_MS = 1;
-    private static final int INITIAL_BACKOFF_MS = 100;
-    private static final int MAX_BACKOFF_MS = 800;
     private static final int RESPONSE_MARGIN_MS = 1_000;
 
     private final Vertx vertx;
@@ -49,20 +51,19 @@
     private final ObjectKind kind;
     private final FeedTiming timing;
     private final FeedListener listener;
-    private final RandomGenerator random;
     private final FeedClocks clock;
     private final LongConsumer eraListener;
+    private final Consumer<StoreOutage> outageListener;
+    private final StoreContact contact;
     private final ObjectHistory history;
     private final ChangeCoverage coverage;
     private final FeedConfirmations confirmations;
     private final Map<String, ObjectEntry> entries = new HashMap<>();
     private long round;
-    private boolean storeUnavailable;
-    private int backoffMs = INITIAL_BACKOFF_MS;
-    private boolean lastFailureWasHistoryLoss;
     private boolean stopped;
     private boolean listing = true;
     private ClockReading listSent = new ClockReading(0, 0);
+    private Optional<PendingWatch> pendingWatch = Optional.empty();
 
     /**
      * Creates a feed, which does nothing until it is started.
@@ -75,6 +76,7 @@
      * @param random adds jitter to the backoff, so that gateways do not retry at the same time
      * @param clock the sources of time
      * @param eraListener receives the store's era with each list
+     * @param outageListener receives each outage of the store when it has ended for this feed
      */
     public ObjectFeed(
             Vertx vertx,
@@ -84,15 +86,17 @@
             FeedListener listener,
             RandomGenerator random,
             FeedClocks clock,
-            LongConsumer eraListener) {
+            LongConsumer eraListener,
+            Consumer<StoreOutage> outageListener) {
         this.vertx = vertx;
         this.store = store;
         this.kind = kind;
         this.timing = timing;
         this.listener = listener;
-        this.random = random;
         this.clock = clock;
         this.eraListener = eraListener;
+        this.outageListener = outageListener;
+        this.contact = new StoreContact(random);
         this.history = new ObjectHistory(timing.retentionMs());
         this.coverage = new ChangeCoverage(timing.maxWaitMs() + RESPONSE_MARGIN_MS);
         this.confirmations = new FeedConfirmations(vertx, clock.monotonic(), this::check);
@@ -115,6 +119,19 @@
         }
     }
 
+    /**
+     * Replaces a watch that may have been lost in an outage, without waiting until it times out.
+     *
+     * @param outage an outage that another feed noticed
+     */
+    void noteOutage(StoreOutage outage) {
+        boolean mayBeLost = !listing && contact.available() && contact.lastResponseMs() < outage.lastFailureMs();
+        if (mayBeLost && !stopped) {
+            pendingWatch.ifPresent(watch -> watch.cancel().run());
+            check();
+        }
+    }
+
     /** Stops the feed when the current request has completed. */
     public void stop() {
         stopped = true;
@@ -161,6 +178,7 @@
     }
 
     private void list(PartialList listed) {
+        contact.recordRequest(clock.nowMs());
         store.list(kind, listed.lastName())
                 .onSuccess(inRound(page -> handlePage(listed, page)))
                 .onFailure(inRound(this::handleFailure));
@@ -255,7 +273,7 @@
     private void noteRestore(StoreRevision listRevision) {
         boolean known = !history.revision().equals(StoreRevision.NONE);
         if (known && listRevision.isOfLaterEra(history.revision())) {
-            storeUnavailable = true;
+            contact.recordFailure();
             Events.warn(
                     LOG,
                     "store_restored",
@@ -336,6 +354,11 @@
         if (stopped) {
             return;
         }
+        if (!contact.available()) {
+            // A request that waits for changes would be given up late if it is lost as well.
+            watch(CHECK_WAIT_MS);
+            return;
+        }
         long nextListMs = history.nextListMs(clock.nowMs());
         if (history.settling() && nextListMs == 0) {
             listAnew();
@@ -347,7 +370,10 @@
     private void watch(int waitMs) {
         listing = false;
         ClockReading sent = clock.read();
-        store.watch(kind, history.revision().revision(), waitMs)
+        contact.recordRequest(clock.nowMs());
+        PendingWatch watch = store.watch(kind, history.revision().revision(), waitMs);
+        pendingWatch = Optional.of(watch);
+        watch.changes()
                 .onSuccess(inRound(changes -> handleChanges(changes, sent, waitMs)))
                 .onFailure(inRound(this::handleFailure));
     }
@@ -362,8 +388,7 @@
             return;
         }
         markStoreAvailable();
-        backoffMs = INITIAL_BACKOFF_MS;
-        lastFailureWasHistoryLoss = false;
+        contact.resetBackoff();
         changes.changes().forEach(this::applySafely);
         history.advance(changes.revision());
         // The store returns no changes only after the whole wait, but some as soon as there are any.
@@ -422,8 +447,7 @@
     }
 
     private void markStoreAvailable() {
-        if (storeUnavailable) {
-            storeUnavailable = false;
+        contact.recordResponse(clock.nowMs()).ifPresent(outage -> {
             Events.info(
                     LOG,
                     "store_available",
@@ -432,9 +456,12 @@
                     "era",
                     history.revision().era(),
                     "revision",
-                    history.revision().revision());
+                    history.revision().revision(),
+                    "silent_ms",
+                    clock.nowMs() - outage.lastResponseMs());
             listener.storeAvailable();
-        }
+            outageListener.accept(outage);
+        });
     }
 
     private void handleFailure(Throwable cause) {
@@ -453,8 +480,7 @@
         } else {
             confirmations.fail(failure);
         }
-        if (!historyLost && !storeUnavailable) {
-            storeUnavailable = true;
+        if (!historyLost && contact.recordFailure()) {
             Events.warn(
                     LOG,
                     "store_unavailable",
@@ -470,13 +496,8 @@
         if (stopped) {
             return;
         }
-        // The first list request after lost history is sent without backoff. If the history after the new list is lost
-        // as well, another immediate request would only add load to the store.
-        int delayMs = historyLost && !lastFailureWasHistoryLoss ? 1 : backoffMs / 2 + random.nextInt(backoffMs);
-        lastFailureWasHistoryLoss = historyLost;
-        backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
         boolean relist = historyLost || history.revision().equals(StoreRevision.NONE);
-        vertx.setTimer(delayMs, inRound(fired -> {
+        vertx.setTimer(contact.nextDelayMs(historyLost), inRound(fired -> {
             if (relist) {
                 listAnew();
             } else {
--- /dev/null
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/StoreContact.java
@@ -0,0 +1,84 @@
+package org.pimentovale.gateway.feed;
+
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.pimentovale.kernel.history.StoreOutage;
+
+/**
+ * What a feed knows about the availability of the store, and how long it waits before it asks again.
+ *
+ * <p>Invariant: the delay after a failure is at most one and a half times {@link #MAX_BACKOFF_MS}. Not thread safe;
+ * used on one event loop.
+ */
+final class StoreContact {
+    private static final int INITIAL_BACKOFF_MS = 100;
+    private static final int MAX_BACKOFF_MS = 800;
+    private static final int IMMEDIATE_RETRY_MS = 1;
+
+    private final RandomGenerator random;
+    private boolean available = true;
+    private long sentMs;
+    private long lastResponseMs;
+    private long lastFailureMs;
+    private int backoffMs = INITIAL_BACKOFF_MS;
+    private boolean lastFailureWasHistoryLoss;
+
+    /**
+     * Creates the state of a store that is taken to be available.
+     *
+     * @param random adds jitter to the delays, so that gateways do not retry at the same time
+     */
+    StoreContact(RandomGenerator random) {
+        this.random = random;
+    }
+
+    /** Tells whether the last request was answered. */
+    boolean available() {
+        return available;
+    }
+
+    /** Returns when the last response arrived, in milliseconds of the monotonic clock. */
+    long lastResponseMs() {
+        return lastResponseMs;
+    }
+
+    void recordRequest(long nowMs) {
+        sentMs = nowMs;
+    }
+
+    /** Records a response; returns the outage that it ends, empty if there was none. */
+    Optional<StoreOutage> recordResponse(long nowMs) {
+        Optional<StoreOutage> ended =
+                available ? Optional.empty() : Optional.of(new StoreOutage(lastResponseMs, lastFailureMs));
+        available = true;
+        lastResponseMs = nowMs;
+        return ended;
+    }
+
+    /** Records that the changes are complete up to now, so that the next failure is the first of a new series. */
+    void resetBackoff() {
+        backoffMs = INITIAL_BACKOFF_MS;
+        lastFailureWasHistoryLoss = false;
+    }
+
+    /** Records a request without a usable response; returns whether the store was taken to be available before. */
+    boolean recordFailure() {
+        boolean noticed = available;
+        available = false;
+        lastFailureMs = sentMs;
+        return noticed;
+    }
+
+    /**
+     * Returns the delay before the request that follows a failure. The first list after lost history is requested at
+     * once; if the history after that list is lost as well, another immediate request would only add load.
+     */
+    int nextDelayMs(boolean historyLost) {
+        int delayMs = historyLost && !lastFailureWasHistoryLoss
+                ? IMMEDIATE_RETRY_MS
+                : backoffMs / 2 + random.nextInt(backoffMs);
+        lastFailureWasHistoryLoss = historyLost;
+        backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+        return delayMs;
+    }
+}
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
@@ -18,6 +18,7 @@
 import org.pimentovale.gateway.port.PlatformStore;
 import org.pimentovale.gateway.suspect.SuspectTracker;
 import org.pimentovale.kernel.directory.EndpointRecord;
+import org.pimentovale.kernel.history.StoreOutage;
 import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.serving.ServingConfiguration;
 import org.pimentovale.log.Events;
@@ -132,7 +133,8 @@
                 listener,
                 random,
                 new FeedClocks(tables::nowMs, System::currentTimeMillis),
-                this::noteEra));
+                this::noteEra,
+                this::noteOutage));
     }
 
     /**
@@ -167,6 +169,11 @@
         feeds.forEach(feed -> feed.noteEra(era));
     }
 
+    /** Tells all feeds of an outage, since the watches of some time out only after a long wait. */
+    private void noteOutage(StoreOutage outage) {
+        feeds.forEach(feed -> feed.noteOutage(outage));
+    }
+
     private int endpointsBatchDelayMs() {
         return Math.min(
                 ENDPOINTS_MAX_BATCH_DELAY_MS,
--- a/gateway/src/main/java/org/pimentovale/gateway/port/PlatformStore.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/PlatformStore.java
@@ -22,10 +22,9 @@
      * @param kind the kind to watch
      * @param revision the revision after which changes are returned
      * @param waitMs the maximum wait, in milliseconds
-     * @return the changes, possibly none; fails with {@link org.pimentovale.error.ErrorCode#HISTORY_LOST} if the
-     *     store no longer has all changes after the revision
+     * @return the request in progress
      */
-    Future<ObjectChanges> watch(ObjectKind kind, long revision, int waitMs);
+    PendingWatch watch(ObjectKind kind, long revision, int waitMs);
 
     /**
      * Creates or replaces the object of an instance.
--- a/gateway/src/main/java/org/pimentovale/gateway/stream/CheckpointedHistory.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stream/CheckpointedHistory.java
@@ -13,6 +13,7 @@
 import org.pimentovale.gateway.port.ObjectReader;
 import org.pimentovale.gateway.port.PlatformStore;
 import org.pimentovale.kernel.directory.EndpointRecord;
+import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.stream.BuildHistory;
 import org.pimentovale.kernel.stream.HistoryCheckpoint;
 import org.pimentovale.kernel.stream.RouteHistory;
@@ -131,14 +132,16 @@
     }
 
     private Future<Long> takeOver(HistoryCheckpoint checkpoint) {
-        Future<ObjectChanges> endpoints =
-                store.watch(ObjectKind.ENDPOINTS, checkpoint.endpoints().revision(), CHANGES_WAIT_MS);
-        Future<ObjectChanges> configuration =
-                store.watch(ObjectKind.CONFIGURATION, checkpoint.configuration().revision(), CHANGES_WAIT_MS);
+        Future<ObjectChanges> endpoints = changes(ObjectKind.ENDPOINTS, checkpoint.endpoints());
+        Future<ObjectChanges> configuration = changes(ObjectKind.CONFIGURATION, checkpoint.configuration());
         return Future.join(endpoints, configuration)
                 .map(both -> takeOver(checkpoint, endpoints.result(), configuration.result()));
     }
 
+    private Future<ObjectChanges> changes(ObjectKind kind, StoreRevision revision) {
+        return store.watch(kind, revision.revision(), CHANGES_WAIT_MS).changes();
+    }
+
     private long takeOver(HistoryCheckpoint checkpoint, ObjectChanges endpoints, ObjectChanges configuration) {
         Optional<String> obstacle = obstacle(checkpoint, endpoints, configuration);
         if (obstacle.isPresent() || !synchronizer.addEarlierCoverage(checkpoint.coveredMs())) {
--- a/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmupStore.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmupStore.java
@@ -17,6 +17,7 @@
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectPage;
 import org.pimentovale.gateway.port.ObjectReader;
+import org.pimentovale.gateway.port.PendingWatch;
 import org.pimentovale.gateway.port.PlatformStore;
 import org.pimentovale.kernel.directory.EndpointRecord;
 import org.pimentovale.kernel.history.StoreRevision;
@@ -57,12 +58,12 @@
     }
 
     @Override
-    public Future<ObjectChanges> watch(ObjectKind kind, long behind, int waitMs) {
+    public PendingWatch watch(ObjectKind kind, long behind, int waitMs) {
         Promise<ObjectChanges> changes = Promise.promise();
         if (kind == ObjectKind.INSTANCES) {
             instanceWatches.add(changes);
         }
-        return changes.future();
+        return PendingWatch.of(changes.future());
     }
 
     @Override
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/InstanceRegistrationTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/InstanceRegistrationTest.java
@@ -12,9 +12,9 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pimentovale.gateway.port.InstanceRecord;
-import org.pimentovale.gateway.port.ObjectChanges;
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectPage;
+import org.pimentovale.gateway.port.PendingWatch;
 import org.pimentovale.gateway.port.PlatformStore;
 import org.pimentovale.kernel.quarantine.SuspectKey;
 import org.pimentovale.kernel.stream.HistoryCheckpoint;
@@ -56,7 +56,7 @@
         }
 
         @Override
-        public Future<ObjectChanges> watch(ObjectKind kind, long revision, int waitMs) {
+        public PendingWatch watch(ObjectKind kind, long revision, int waitMs) {
             throw new AssertionError(kind);
         }
 
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
@@ -23,6 +23,7 @@
 import org.pimentovale.gateway.port.ObjectEntry;
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectPage;
+import org.pimentovale.gateway.port.PendingWatch;
 import org.pimentovale.gateway.port.PlatformStore;
 import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.quarantine.SuspectKey;
@@ -88,16 +89,16 @@
         }
 
         @Override
-        public Future<ObjectChanges> watch(ObjectKind kind, long revision, int waitMs) {
+        public PendingWatch watch(ObjectKind kind, long revision, int waitMs) {
             watchedAtNs.add(System.nanoTime());
             if (watchedAtNs.size() > CHANGE_COUNT) {
                 allChangesDelivered.complete(null);
-                return Promise.<ObjectChanges>promise().future();
+                return PendingWatch.of(Promise.<ObjectChanges>promise().future());
             }
             ObjectEntry entry = new ObjectEntry(
                     "name", new StoreRevision(0, revision + 1), Optional.empty(), MissingNode.getInstance());
-            return Future.succeededFuture(new ObjectChanges(
-                    List.of(new ObjectChanges.Change(entry, false)), new StoreRevision(0, revision + 1)));
+            return PendingWatch.of(Future.succeededFuture(new ObjectChanges(
+                    List.of(new ObjectChanges.Change(entry, false)), new StoreRevision(0, revision + 1))));
         }
     }
 
@@ -117,8 +118,9 @@
         }
 
         @Override
-        public Future<ObjectChanges> watch(ObjectKind kind, long revision, int waitMs) {
-            return Future.failedFuture(ServingException.notRun(ErrorCode.HISTORY_LOST, "behind " + revision));
+        public PendingWatch watch(ObjectKind kind, long revision, int waitMs) {
+            return PendingWatch.of(
+                    Future.failedFuture(ServingException.notRun(ErrorCode.HISTORY_LOST, "behind " + revision)));
         }
     }
 
@@ -170,7 +172,8 @@
                     new FailingListener(),
                     new SplittableRandom(1),
                     CLOCKS,
-                    era -> {});
+                    era -> {},
+                    outage -> {});
             vertx.exceptionHandler(uncaught -> {});
             vertx.runOnContext(run -> feed.start());
 
@@ -188,7 +191,8 @@
                     new CountingListener(),
                     new SplittableRandom(1),
                     CLOCKS,
-                    era -> {});
+                    era -> {},
+                    outage -> {});
             vertx.runOnContext(run -> feed.start());
             historyLosingStore.listLimitReached.get(10, TimeUnit.SECONDS);
 
@@ -208,7 +212,8 @@
                     listener,
                     new SplittableRandom(1),
                     CLOCKS,
-                    era -> {});
+                    era -> {},
+                    outage -> {});
             vertx.runOnContext(run -> feed.start());
             changingStore.allChangesDelivered.get(10, TimeUnit.SECONDS);
 
