--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -27,7 +27,6 @@
 import org.pimentovale.kernel.history.StoreOutage;
 import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.time.ClockReading;
-import org.pimentovale.log.Events;
 
 /**
  * Watches one kind of objects: lists them, then watches for changes, and lists them again if the store no longer has
@@ -55,6 +54,7 @@
     private final LongConsumer eraListener;
     private final Consumer<StoreOutage> outageListener;
     private final StoreContact contact;
+    private final FeedLog log;
     private final ObjectHistory history;
     private final ChangeCoverage coverage;
     private final FeedConfirmations confirmations;
@@ -97,6 +97,7 @@
         this.eraListener = eraListener;
         this.outageListener = outageListener;
         this.contact = new StoreContact(random);
+        this.log = new FeedLog(LOG, kind);
         this.history = new ObjectHistory(timing.retentionMs());
         this.coverage = new ChangeCoverage(timing.maxWaitMs() + RESPONSE_MARGIN_MS);
         this.confirmations = new FeedConfirmations(vertx, clock.monotonic(), this::check);
@@ -216,15 +217,9 @@
     }
 
     private void refuse(PartialList listed) {
-        Events.warn(
-                LOG,
+        log.warn(
                 "list_refused",
-                "kind",
-                kind,
-                "era",
-                listed.revision().era(),
-                "revision",
-                listed.revision().revision(),
+                listed.revision(),
                 "known_era",
                 history.revision().era(),
                 "known_revision",
@@ -239,15 +234,9 @@
         List<ObjectWrite> writes =
                 listed.entries().stream().map(ObjectEntry::write).toList();
         ListVerdict verdict = history.acceptList(listed.revision(), writes, clock.nowMs());
-        Events.info(
-                LOG,
+        log.info(
                 "objects_listed",
-                "kind",
-                kind,
-                "era",
-                listed.revision().era(),
-                "revision",
-                listed.revision().revision(),
+                listed.revision(),
                 "objects",
                 writes.size(),
                 "retained",
@@ -274,15 +263,9 @@
         boolean known = !history.revision().equals(StoreRevision.NONE);
         if (known && listRevision.isOfLaterEra(history.revision())) {
             contact.recordFailure();
-            Events.warn(
-                    LOG,
+            log.warn(
                     "store_restored",
-                    "kind",
-                    kind,
-                    "era",
-                    listRevision.era(),
-                    "revision",
-                    listRevision.revision(),
+                    listRevision,
                     "known_era",
                     history.revision().era(),
                     "known_revision",
@@ -332,11 +315,9 @@
                 .filter(history::learnRemoval)
                 .map(write -> entries.remove(write.name()))
                 .forEach(listener::removed);
-        Events.info(
-                LOG,
+        log.info(
                 "confirmed_objects_learned",
-                "kind",
-                kind,
+                history.revision(),
                 "restored_ago_ms",
                 confirmed.restoredAgoMs(),
                 "present",
@@ -407,8 +388,13 @@
         try {
             apply(change);
         } catch (RuntimeException failure) {
-            Events.warn(
-                    LOG, "change_failed", "kind", kind, "name", change.entry().name(), "failure", failure);
+            log.warn(
+                    "change_failed",
+                    change.entry().revision(),
+                    "name",
+                    change.entry().name(),
+                    "failure",
+                    failure);
         }
     }
 
@@ -417,19 +403,7 @@
         boolean accepted =
                 change.removed() ? history.acceptRemoval(entry.write()) : history.acceptChange(entry.write());
         if (!accepted) {
-            Events.info(
-                    LOG,
-                    "older_write_ignored",
-                    "kind",
-                    kind,
-                    "name",
-                    entry.name(),
-                    "era",
-                    entry.revision().era(),
-                    "revision",
-                    entry.revision().revision(),
-                    "removed",
-                    change.removed());
+            log.info("older_write_ignored", entry.revision(), "name", entry.name(), "removed", change.removed());
         } else if (change.removed()) {
             entries.remove(entry.name());
             listener.removed(entry);
@@ -448,17 +422,8 @@
 
     private void markStoreAvailable() {
         contact.recordResponse(clock.nowMs()).ifPresent(outage -> {
-            Events.info(
-                    LOG,
-                    "store_available",
-                    "kind",
-                    kind,
-                    "era",
-                    history.revision().era(),
-                    "revision",
-                    history.revision().revision(),
-                    "silent_ms",
-                    clock.nowMs() - outage.lastResponseMs());
+            log.info(
+                    "store_available", history.revision(), "silent_ms", clock.nowMs() - outage.lastResponseMs());
             listener.storeAvailable();
             outageListener.accept(outage);
         });
@@ -468,30 +433,12 @@
         ServingException failure = ServingException.of(cause);
         boolean historyLost = failure.code() == ErrorCode.HISTORY_LOST;
         if (historyLost) {
-            Events.warn(
-                    LOG,
-                    "history_lost",
-                    "kind",
-                    kind,
-                    "era",
-                    history.revision().era(),
-                    "revision",
-                    history.revision().revision());
+            log.warn("history_lost", history.revision());
         } else {
             confirmations.fail(failure);
         }
         if (!historyLost && contact.recordFailure()) {
-            Events.warn(
-                    LOG,
-                    "store_unavailable",
-                    "kind",
-                    kind,
-                    "era",
-                    history.revision().era(),
-                    "revision",
-                    history.revision().revision(),
-                    "failure",
-                    failure.getMessage());
+            log.warn("store_unavailable", history.revision(), "failure", failure.getMessage());
         }
         if (stopped) {
             return;
