Continue a list after its first page's revision, so that no removal is missed

Cause: a list of several pages took the revision of its last page. The removal of an object of the first page lies before it, and no watch returned it. Change: the first page's revision counts. The watch repeats changes that later pages contain already; those that precede a known write of the same era are ignored, so that nothing goes back in time.

--- a/gateway/src/main/java/org/pimentovale/gateway/feed/PartialList.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/PartialList.java
@@ -10,7 +10,8 @@
 /**
  * The pages of a list that have been received.
  *
- * <p>Invariant: all pages belong to the same era of the store. Not thread safe; used on one event loop.
+ * <p>The list is complete up to the revision of its first page: of what changed later, objects of pages that had been
+ * received already show nothing. Invariant: all pages belong to the same era of the store. Not thread safe; used on one event loop.
  */
 final class PartialList {
     private final List<ObjectEntry> entries = new ArrayList<>();
@@ -18,11 +19,11 @@
 
     /** Adds the next page; returns false if the store was restored since the previous one. */
     boolean add(ObjectPage page) {
-        boolean sameEra = revision.equals(StoreRevision.NONE)
-                || revision.era() == page.revision().era();
+        if (revision.equals(StoreRevision.NONE)) {
+            revision = page.revision();
+        }
         entries.addAll(page.entries());
-        revision = page.revision();
-        return sameEra;
+        return revision.era() == page.revision().era();
     }
 
     /** Returns the name after which the next page starts, empty for the first page. */
@@ -36,6 +37,7 @@
         return entries;
     }
 
+    /** Returns the revision after which further changes may be missing. */
     StoreRevision revision() {
         return revision;
     }
--- a/kernel/src/main/java/org/pimentovale/kernel/history/ObjectHistory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/history/ObjectHistory.java
@@ -11,7 +11,8 @@
 /**
  * Decides which statements of the store about the objects of one kind are believed.
  *
- * <p>Within an era the store's revision orders all statements. A store that is restored from a backup has lost its last
+ * <p>Within an era the store's revision orders all statements. A list may contain writes later than its revision, and the
+ * changes after that revision then repeat what led up to them; they are ignored. A store that is restored from a backup has lost its last
  * writes and removals; their writers write them again after a while. Until then, what was confirmed before the restore
  * stays in force:
  *
@@ -149,6 +150,14 @@
         return write.revision().revision() <= removal.revision().revision();
     }
 
+    /** Tells whether a later write of the same era is known. */
+    private boolean precedesKnown(ObjectWrite write) {
+        ObjectWrite known = present.get(write.name());
+        return known != null
+                && known.revision().era() == write.revision().era()
+                && write.revision().precedes(known.revision());
+    }
+
     private boolean isOlderThanKnown(ObjectWrite write) {
         return isOlder(write, present.get(write.name()));
     }
@@ -186,7 +195,7 @@
      * @return whether the new state is believed; if not, the previous one stays in force
      */
     public boolean acceptChange(ObjectWrite write) {
-        if (isOlderThanKnown(write) || isOlder(write, removed.get(write.name()))) {
+        if (precedesKnown(write) || isOlderThanKnown(write) || isOlder(write, removed.get(write.name()))) {
             return false;
         }
         recordPresent(write);
@@ -200,7 +209,7 @@
      * @return whether the object is removed; if not, its previous state stays in force
      */
     public boolean acceptRemoval(ObjectWrite lastWrite) {
-        if (writersExpected && isOlderThanKnown(lastWrite)) {
+        if (precedesKnown(lastWrite) || (writersExpected && isOlderThanKnown(lastWrite))) {
             return false;
         }
         recordRemoved(lastWrite);
--- a/kernel/src/test/java/org/pimentovale/kernel/history/ObjectHistoryTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/history/ObjectHistoryTest.java
@@ -50,6 +50,23 @@
             assertThat(verdict.retained()).isEmpty();
             assertThat(list(1, 7, 0, plain(1, 2)).accepted()).containsExactly("plain");
         }
+
+        @Test
+        void ignoresChangesThatPrecedeAListedWrite() {
+            list(1, 5, 0, plain(1, 8));
+
+            assertThat(history.acceptChange(plain(1, 6))).isFalse();
+            assertThat(history.acceptRemoval(plain(1, 6))).isFalse();
+            assertThat(history.acceptChange(plain(1, 8))).isTrue();
+            assertThat(history.acceptRemoval(plain(1, 8))).isTrue();
+        }
+
+        @Test
+        void believesTheRemovalOfAListedObject() {
+            list(1, 5, 0, plain(1, 2));
+
+            assertThat(history.acceptRemoval(plain(1, 2))).isTrue();
+        }
     }
 
     @Nested
