Hold back only removals that an outage of the store can have caused

Cause: for 2 s after a gateway's own reconnect each removal was taken for an entry that expired in the outage, also after a hiccup in which none can expire, and without regard to when the outage ended. Change: the feed reports the outage that ended; the period starts only after 2.4 s of silence or a restore, and ends at most 2.9 s after the last failed request, before which the outage cannot have ended. The signature of recordStoreReconnect changed, so three earlier tests name the outage now; their times and bounds are the same.

--- a/gateway/src/main/java/org/pimentovale/gateway/feed/FeedListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/FeedListener.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 import org.pimentovale.gateway.port.ObjectEntry;
+import org.pimentovale.kernel.history.StoreOutage;
 
 /** Receives the objects of a feed's kind and their changes. Called on the feed's event loop. */
 public interface FeedListener {
@@ -38,6 +39,8 @@
     /**
      * Called when the store responds again after a failure, or was restored, before the content of that response is
      * delivered.
+     *
+     * @param outage the outage that has ended
      */
-    default void storeAvailable() {}
+    default void storeAvailable(StoreOutage outage) {}
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/FeedLog.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/FeedLog.java
@@ -28,8 +28,8 @@
     }
 
     private Object[] line(StoreRevision revision, Object... details) {
-        List<Object> line = new ArrayList<>(
-                List.of("kind", kind, "era", revision.era(), "revision", revision.revision()));
+        List<Object> line =
+                new ArrayList<>(List.of("kind", kind, "era", revision.era(), "revision", revision.revision()));
         line.addAll(List.of(details));
         return line.toArray();
     }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -262,7 +262,7 @@
     private void noteRestore(StoreRevision listRevision) {
         boolean known = !history.revision().equals(StoreRevision.NONE);
         if (known && listRevision.isOfLaterEra(history.revision())) {
-            contact.recordFailure();
+            contact.recordRestore();
             log.warn(
                     "store_restored",
                     listRevision,
@@ -422,9 +422,8 @@
 
     private void markStoreAvailable() {
         contact.recordResponse(clock.nowMs()).ifPresent(outage -> {
-            log.info(
-                    "store_available", history.revision(), "silent_ms", clock.nowMs() - outage.lastResponseMs());
-            listener.storeAvailable();
+            log.info("store_available", history.revision(), "silent_ms", clock.nowMs() - outage.lastResponseMs());
+            listener.storeAvailable(outage);
             outageListener.accept(outage);
         });
     }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/StoreContact.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/StoreContact.java
@@ -17,6 +17,7 @@
 
     private final RandomGenerator random;
     private boolean available = true;
+    private boolean restored;
     private long sentMs;
     private long lastResponseMs;
     private long lastFailureMs;
@@ -49,8 +50,9 @@
     /** Records a response; returns the outage that it ends, empty if there was none. */
     Optional<StoreOutage> recordResponse(long nowMs) {
         Optional<StoreOutage> ended =
-                available ? Optional.empty() : Optional.of(new StoreOutage(lastResponseMs, lastFailureMs));
+                available ? Optional.empty() : Optional.of(new StoreOutage(lastResponseMs, lastFailureMs, restored));
         available = true;
+        restored = false;
         lastResponseMs = nowMs;
         return ended;
     }
@@ -61,7 +63,7 @@
         lastFailureWasHistoryLoss = false;
     }
 
-    /** Records a request without a usable response; returns whether the store was taken to be available before. */
+    /** Records a request without a usable response. Returns whether the store was taken to be available before. */
     boolean recordFailure() {
         boolean noticed = available;
         available = false;
@@ -69,6 +71,12 @@
         return noticed;
     }
 
+    /** Records that the store was restored, which the next response ends like an outage. */
+    void recordRestore() {
+        restored = true;
+        recordFailure();
+    }
+
     /**
      * Returns the delay before the request that follows a failure. The first list after lost history is requested at
      * once; if the history after that list is lost as well, another immediate request would only add load.
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
@@ -298,8 +298,12 @@
     /** Updates the endpoint directory. */
     private final class EndpointListener implements FeedListener {
         @Override
-        public void storeAvailable() {
-            tables.endpoints().recordStoreReconnect(tables.nowMs());
+        public void storeAvailable(StoreOutage outage) {
+            long graceMs = tables.endpoints().recordStoreReconnect(outage, tables.nowMs());
+            if (graceMs > 0) {
+                Events.info(LOG, "endpoints_grace_period", "left_ms", graceMs, "restored", outage.restored());
+                vertx.setTimer(graceMs, fired -> removeExpiredEndpoints());
+            }
         }
 
         @Override
@@ -340,14 +344,16 @@
 
         @Override
         public void removed(ObjectEntry entry) {
-            tables.endpoints().remove(entry.name(), tables.nowMs());
+            long keptMs = tables.endpoints().remove(entry.name(), tables.nowMs());
             Events.info(
                     LOG,
                     "endpoint_removed",
                     "endpoint",
                     entry.name(),
                     "revision",
-                    entry.revision().revision());
+                    entry.revision().revision(),
+                    "kept_ms",
+                    keptMs);
             endpointsChanged.run();
         }
 
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/FeedListTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/FeedListTest.java
@@ -64,9 +64,7 @@
         @Test
         void aWriteThatTheSecondPageContainsIsNotReplacedByAnEarlierOne() throws Exception {
             HeldStore.Watch watch = FeedFixture.take(fixture.store.watches);
-            fixture.answer(
-                    watch,
-                    changes(110, written("second", 104), removed("second", 105), written("second", 110)));
+            fixture.answer(watch, changes(110, written("second", 104), removed("second", 105), written("second", 110)));
             fixture.answer(FeedFixture.take(fixture.store.watches), changes(111, written("second", 111)));
 
             // The listed write and the one after it; what preceded the listed one is ignored.
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/FeedOutageTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/FeedOutageTest.java
@@ -88,7 +88,7 @@
             fixture.nowMs.set(6_000);
             fixture.answer(third, FeedFixture.changes());
 
-            assertThat(fixture.outages).containsExactly(new StoreOutage(1_000, 5_000));
+            assertThat(fixture.outages).containsExactly(new StoreOutage(1_000, 5_000, false));
         }
     }
 
@@ -98,7 +98,7 @@
         void aWatchThatMayBeLostIsReplacedAtOnce() throws Exception {
             HeldStore.Watch waiting = nextWatch();
             fixture.nowMs.set(9_000);
-            fixture.runOnEventLoop(() -> fixture.feed.noteOutage(new StoreOutage(1_000, 8_000)));
+            fixture.runOnEventLoop(() -> fixture.feed.noteOutage(new StoreOutage(1_000, 8_000, false)));
 
             assertThat(fixture.store.cancelled).containsExactly(waiting);
             HeldStore.Watch check = nextWatch();
@@ -114,7 +114,7 @@
             fixture.nowMs.set(9_000);
             fixture.answer(nextWatch(), FeedFixture.changes());
             nextWatch();
-            fixture.runOnEventLoop(() -> fixture.feed.noteOutage(new StoreOutage(1_000, 8_000)));
+            fixture.runOnEventLoop(() -> fixture.feed.noteOutage(new StoreOutage(1_000, 8_000, false)));
 
             assertThat(fixture.store.cancelled).isEmpty();
             assertThat(fixture.store.watches).isEmpty();
--- a/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
@@ -10,12 +10,14 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.pimentovale.kernel.history.StoreOutage;
 
 /**
  * The endpoints that the platform lists, with the state that this instance observed of each.
  *
  * <p>Entries that are missing after a store outage may have expired only because of the outage. They stay usable for
- * {@link #EXPIRY_GRACE_PERIOD_MS} after the store is reachable again and are removed afterwards.
+ * {@link #EXPIRY_GRACE_PERIOD_MS} after the store is reachable again and are removed afterwards. The period applies only
+ * if the outage was long enough for that, and ends before removals after the outage have to be in force.
  *
  * <p>An endpoint may say in a response that it is leaving, or refuse a request and name a delay. Such a notice is bound
  * to the endpoint's incarnation: it outlasts the removal of the entry and older entries, and ends with a later
@@ -28,6 +30,11 @@
     /** How long missing entries stay usable after the store is reachable again, in milliseconds. */
     public static final long EXPIRY_GRACE_PERIOD_MS = 2_000;
 
+    // A live endpoint writes its entry every 1,200 ms, and the entry expires after three times as long.
+    private static final long MIN_EXPIRING_OUTAGE_MS = 2_400;
+    // Removals are to be in force 3,000 ms after the outage, which ended after the last failed request.
+    private static final long MAX_GRACE_AFTER_FAILURE_MS = 2_900;
+
     private final Map<String, EndpointState> endpoints = new HashMap<>();
     private final Map<String, List<EndpointState>> byService = new HashMap<>();
     private final EndpointNoticeTable notices = new EndpointNoticeTable();
@@ -35,12 +42,19 @@
     private long graceUntilMs = Long.MIN_VALUE;
 
     /**
-     * Records that the store is reachable again after an outage. Starts the grace period for missing entries.
+     * Records that the store is reachable again after an outage. Starts the grace period for missing entries if live
+     * endpoints may have lost theirs.
      *
+     * @param outage the outage
      * @param nowMs the current time in milliseconds
+     * @return the time until the grace period ends, in milliseconds, zero if there is none
      */
-    public void recordStoreReconnect(long nowMs) {
-        graceUntilMs = nowMs + EXPIRY_GRACE_PERIOD_MS;
+    public long recordStoreReconnect(StoreOutage outage, long nowMs) {
+        if (outage.restored() || nowMs - outage.lastResponseMs() >= MIN_EXPIRING_OUTAGE_MS) {
+            long latestMs = outage.lastFailureMs() + MAX_GRACE_AFTER_FAILURE_MS;
+            graceUntilMs = Math.max(graceUntilMs, Math.min(nowMs + EXPIRY_GRACE_PERIOD_MS, latestMs));
+        }
+        return Math.max(0, graceUntilMs - nowMs);
     }
 
     /**
@@ -97,17 +111,16 @@
      *
      * @param identifier the endpoint's identifier
      * @param nowMs the current time in milliseconds
+     * @return how long the endpoint stays usable, in milliseconds, zero if it is removed
      */
-    public void remove(String identifier, long nowMs) {
+    public long remove(String identifier, long nowMs) {
         EndpointState known = endpoints.get(identifier);
-        if (known == null) {
-            return;
-        }
-        if (nowMs < graceUntilMs && !known.latest().draining()) {
+        if (known != null && nowMs < graceUntilMs && !known.latest().draining()) {
             known.markExpired(nowMs);
-            return;
+            return graceUntilMs - nowMs;
         }
         delete(identifier);
+        return 0;
     }
 
     private void delete(String identifier) {
--- a/kernel/src/main/java/org/pimentovale/kernel/history/StoreOutage.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/history/StoreOutage.java
@@ -6,5 +6,6 @@
  *
  * @param lastResponseMs when the last response before the outage arrived, in milliseconds of the monotonic clock
  * @param lastFailureMs when the last request that failed was sent; the outage did not end earlier
+ * @param restored whether the store was restored from a backup, which may lack objects however short the outage was
  */
-public record StoreOutage(long lastResponseMs, long lastFailureMs) {}
+public record StoreOutage(long lastResponseMs, long lastFailureMs, boolean restored) {}
--- a/kernel/src/test/java/org/pimentovale/kernel/directory/EndpointDirectoryTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/directory/EndpointDirectoryTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.pimentovale.kernel.history.StoreOutage;
 
 class EndpointDirectoryTest {
     private final EndpointDirectory directory = new EndpointDirectory();
@@ -79,7 +80,7 @@
         @Test
         void keepsExpiredEntriesDuringGracePeriod() {
             directory.put(endpoint("a", false, 0, 1), 0);
-            directory.recordStoreReconnect(1_000);
+            directory.recordStoreReconnect(new StoreOutage(-2_000, 900, false), 1_000);
             directory.remove("a", 1_100);
 
             assertThat(usable()).containsExactly("a");
@@ -91,7 +92,7 @@
         @Test
         void keepsEntriesThatReappear() {
             directory.put(endpoint("a", false, 0, 1), 0);
-            directory.recordStoreReconnect(1_000);
+            directory.recordStoreReconnect(new StoreOutage(-2_000, 900, false), 1_000);
             directory.remove("a", 1_100);
             directory.put(endpoint("a", false, 0, 1), 2_500);
 
@@ -102,10 +103,38 @@
         @Test
         void removesDrainingEndpointsImmediately() {
             directory.put(endpoint("a", true, 0, 1), 0);
-            directory.recordStoreReconnect(1_000);
+            directory.recordStoreReconnect(new StoreOutage(-2_000, 900, false), 1_000);
             directory.remove("a", 1_100);
 
             assertThat(directory.find("a")).isEmpty();
         }
+
+        @Test
+        void removesEndpointsAtOnceIfNoEntryCanHaveExpired() {
+            directory.put(endpoint("a", false, 0, 1), 0);
+            directory.recordStoreReconnect(new StoreOutage(0, 900, false), 1_000);
+            directory.remove("a", 1_100);
+
+            assertThat(usable()).isEmpty();
+        }
+
+        @Test
+        void keepsEntriesThatARestoredStoreLacks() {
+            directory.put(endpoint("a", false, 0, 1), 0);
+            directory.recordStoreReconnect(new StoreOutage(900, 1_000, true), 1_000);
+            directory.remove("a", 1_100);
+
+            assertThat(usable()).containsExactly("a");
+        }
+
+        @Test
+        void removesEndpointsBeforeRemovalsHaveToBeInForce() {
+            directory.put(endpoint("a", false, 0, 1), 0);
+            // The outage may have ended right after the failed request was sent; 3,000 ms later all changes count.
+            directory.recordStoreReconnect(new StoreOutage(0, 5_000, false), 6_800);
+            directory.remove("a", 6_900);
+
+            assertThat(directory.removeExpired(7_999)).containsExactly("a");
+        }
     }
 }
