Break an unframed stream off that ends inside a line

Cause of what is left of it: an event that ends with CR LF counted as complete after its last CR, and the end inside a comment was not looked at. Change: an unframed stream that ends inside a line or a line end is broken off. stream_begun names whether the response is framed.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
@@ -378,14 +378,21 @@
         }
 
         @Override
-        public void begun() {
+        public void begun(boolean framed) {
             stagePhase.ifPresent(StagePhase::end);
             if (stream) {
                 long waitedMs = tables.nowMs() - call.sentMs();
                 String route = request.routed().route().name();
                 tables.firstEventEstimates().record(route, (double) waitedMs);
                 services.metrics().recordFirstEvent(route, waitedMs);
-                log.info("stream_begun", "endpoint", call.endpoint().latest().identifier(), "waited_ms", waitedMs);
+                log.info(
+                        "stream_begun",
+                        "endpoint",
+                        call.endpoint().latest().identifier(),
+                        "waited_ms",
+                        waitedMs,
+                        "framed",
+                        framed);
             }
         }
 
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
@@ -13,8 +13,8 @@
  *
  * <p>The first part of a body is held back, so that a response which breaks off early can be replaced by a failure or
  * by the response of another endpoint; a stream of events is relayed at once. Invariants: the memory used is bounded,
- * however long the body is; a stream that ends inside an event, or without an event and without framing, is never
- * relayed as complete. Not thread safe; used on one event loop.
+ * however long the body is; a stream that ends inside an event, or without framing inside a line or before its first
+ * event, is never relayed as complete. Not thread safe; used on one event loop.
  */
 final class ResponseRelay {
     private static final int MAX_HELD_BYTES = 256 * 1_024;
@@ -35,8 +35,12 @@
         /** Tells whether the response is still wanted; if not, its parts are ignored. */
         boolean active();
 
-        /** Called before the first byte is sent to the caller, unless the response is sent as a whole. */
-        void begun();
+        /**
+         * Called before the first byte is sent to the caller, unless the response is sent as a whole.
+         *
+         * @param framed whether the end of the body is marked; otherwise it ends with its connection
+         */
+        void begun(boolean framed);
 
         /** Called once when the endpoint has continued its answer after its beginning. */
         void continued();
@@ -109,7 +113,7 @@
 
     private void write(Buffer part) {
         if (target.isEmpty()) {
-            listener.begun();
+            listener.begun(framed());
             target = Optional.of(callerResponse.startChunked(
                     response.statusCode(), response.statusMessage(), codec.responseHeaders(response.headers())));
             if (held.length() > 0) {
@@ -130,6 +134,8 @@
         }
         if (events.filter(EventStreamParser::insideEvent).isPresent()) {
             breakOff("the stream ended inside an event");
+        } else if (!framed() && events.filter(EventStreamParser::insideLine).isPresent()) {
+            breakOff("the connection ended inside a line");
         } else if (events.filter(parser -> parser.completeEvents() == 0).isPresent() && !framed()) {
             breakOff("the connection ended without an event");
         } else {
--- a/kernel/src/main/java/org/pimentovale/kernel/stream/EventStreamParser.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/stream/EventStreamParser.java
@@ -14,6 +14,7 @@
     private boolean atLineStart = true;
     private boolean insideComment;
     private boolean afterCarriageReturn;
+    private boolean endsLinesWithBoth;
 
     /**
      * Parses the next bytes of the stream.
@@ -30,6 +31,7 @@
         boolean secondOfLineEnd = afterCarriageReturn && next == '\n';
         afterCarriageReturn = next == '\r';
         if (secondOfLineEnd) {
+            endsLinesWithBoth = true;
             return;
         }
         openEventBytes++;
@@ -76,6 +78,15 @@
         return insideEvent;
     }
 
+    /**
+     * Tells whether the stream so far ends within a line, of an event or of a comment, or within the end of a line.
+     *
+     * @return whether at least one more byte is missing
+     */
+    public boolean insideLine() {
+        return !atLineStart || (afterCarriageReturn && endsLinesWithBoth);
+    }
+
     /**
      * Returns the length of the input since the last end of an event.
      *
--- a/kernel/src/test/java/org/pimentovale/kernel/stream/EventStreamParserTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/stream/EventStreamParserTest.java
@@ -41,6 +41,27 @@
         }
     }
 
+    @Nested
+    class ALine {
+        @Test
+        void isOpenBeforeItsEnd() {
+            assertThat(parse("id: 1\ndata: a\n\n: keep").insideLine()).isTrue();
+            assertThat(parse("id: 1\ndata").insideLine()).isTrue();
+        }
+
+        @Test
+        void isOpenWithinAnEndOfTwoBytes() {
+            assertThat(parse("id: 1\r\ndata: a\r\n\r").insideLine()).isTrue();
+            assertThat(parse("id: 1\r\ndata: a\r\n\r\n").insideLine()).isFalse();
+        }
+
+        @Test
+        void endsWithOneByteWhereAllLinesDo() {
+            assertThat(parse("id: 1\rdata: a\r\r").insideLine()).isFalse();
+            assertThat(parse("id: 1\ndata: a\n\n").insideLine()).isFalse();
+        }
+    }
+
     @Nested
     class Comments {
         @Test
--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
@@ -42,6 +42,7 @@
     private Optional<String> rejection = Optional.empty();
     private final AtomicLong endlessBytes = new AtomicLong();
     private Optional<EndlessResponse> endlessResponse = Optional.empty();
+    private Optional<String> finalBytes = Optional.empty();
     private boolean streamsForPathDuration;
     private OptionalInt trickleIntervalMs = OptionalInt.empty();
     private final Set<NetSocket> connections = ConcurrentHashMap.newKeySet();
@@ -136,6 +137,15 @@
         endlessResponse = Optional.of(new EndlessResponse(prefix, repeated));
     }
 
+    /**
+     * Makes the endpoint respond to each request with some bytes, after which it closes the connection.
+     *
+     * @param bytes what is sent, with {@code %s} in the place of the attempt's identifier
+     */
+    public synchronized void respondAndClose(String bytes) {
+        finalBytes = Optional.of(bytes);
+    }
+
     /**
      * Makes the endpoint answer each request with a stream of events. Its duration in milliseconds is the last segment
      * of the request's path. Whatever is set, a path with {@code /delay/N} is answered with a complete response after
@@ -286,6 +296,9 @@
                     + "\r\nX-Server-Stamp: stamp-1\r\nContent-Type: text/event-stream\r\n"
                     + "Transfer-Encoding: chunked\r\n\r\n");
             crash();
+        } else if (finalBytes.isPresent()) {
+            socket.write(finalBytes.get().replace("%s", request.headers().getOrDefault("x-attempt-id", "")))
+                    .onComplete(written -> socket.close());
         } else if (endlessResponse.isPresent()) {
             EndlessResponse endless = endlessResponse.get();
             socket.write(endless.prefix().replace("%s", request.headers().getOrDefault("x-attempt-id", "")))
