Hold at most 256 KiB of a response to a call for pieces

Report of other operators: bytes without end that are no answer filled the memory of the machine that had called. Single responses were bounded here, but a call for pieces held 8 MiB, and a gateway may have 200 open. Change: each HTTP client has a limit for its kind of response (BodyLimit).

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -51,6 +51,7 @@
 import org.pimentovale.kernel.stream.RouteHistory;
 import org.pimentovale.kernel.time.MonotonicClock;
 import org.pimentovale.log.Events;
+import org.pimentovale.store.http.BodyLimit;
 import org.pimentovale.store.http.TimedHttpClient;
 
 /**
@@ -127,9 +128,8 @@
                 new TimedHttpClient(vertx, newStoreClient(), ErrorCode.STORE_UNAVAILABLE),
                 settings.storeAddress(),
                 rejectedObjects);
-        TimedHttpClient endpointCalls = newTimedClient(false, MAX_CONNECTIONS_PER_HOST, ErrorCode.CONNECTION_LOST);
-        TimedHttpClient releaseCalls =
-                newTimedClient(true, MAX_RELEASE_CONNECTIONS_PER_HOST, ErrorCode.CONNECTION_LOST);
+        TimedHttpClient endpointCalls = newEndpointClient(false, MAX_CONNECTIONS_PER_HOST);
+        TimedHttpClient releaseCalls = newEndpointClient(true, MAX_RELEASE_CONNECTIONS_PER_HOST);
         TimedHttpClient peerCalls = TimedHttpClient.identifyingCalls(
                 vertx, newClient(true, MAX_CONNECTIONS_PER_HOST), ErrorCode.PEER_UNAVAILABLE);
         RequestPermits permits = new RequestPermits(tables, peerCalls);
@@ -202,8 +202,9 @@
                 clock.nowMs());
     }
 
-    private TimedHttpClient newTimedClient(boolean keepConnections, int connections, ErrorCode failureCode) {
-        return new TimedHttpClient(vertx, newClient(keepConnections, connections), failureCode);
+    private TimedHttpClient newEndpointClient(boolean keepConnections, int connections) {
+        return new TimedHttpClient(
+                vertx, newClient(keepConnections, connections), ErrorCode.CONNECTION_LOST, BodyLimit.SHORT_RESPONSES);
     }
 
     private HttpClient newStoreClient() {
--- /dev/null
+++ b/store/src/main/java/org/pimentovale/store/http/BodyLimit.java
@@ -0,0 +1,60 @@
+package org.pimentovale.store.http;
+
+import java.util.Optional;
+
+/** How much of a response body a client holds in memory. Immutable and thread safe. */
+public enum BodyLimit {
+    /** For responses that contain many objects. */
+    MESSAGES(8 * 1_024 * 1_024) {
+        @Override
+        Optional<LongStringFilter> newFilter() {
+            return Optional.empty();
+        }
+    },
+    /**
+     * For calls for pieces, whose results take less than a hundred bytes each. Faulty endpoints may send bodies without
+     * end in all calls at the same time.
+     */
+    SHORT_RESPONSES(256 * 1_024) {
+        @Override
+        Optional<LongStringFilter> newFilter() {
+            return Optional.empty();
+        }
+    },
+    /**
+     * For objects of a store to which others write as well: strings that are longer than any in use are shortened, so
+     * that large objects of others leave room for the rest of the response.
+     */
+    STORED_OBJECTS(8 * 1_024 * 1_024) {
+        @Override
+        Optional<LongStringFilter> newFilter() {
+            return Optional.of(new LongStringFilter(MAX_STRING_BYTES));
+        }
+    };
+
+    private static final int MAX_STRING_BYTES = 64 * 1_024;
+    private static final int UNFILTERED_BYTES = 1_024 * 1_024;
+
+    private final int maxBytes;
+
+    BodyLimit(int maxBytes) {
+        this.maxBytes = maxBytes;
+    }
+
+    /** Creates the filter for a body that exceeds {@link #unfilteredBytes}, empty if such a body is held unchanged. */
+    abstract Optional<LongStringFilter> newFilter();
+
+    BoundedBody newBody() {
+        return new BoundedBody(this);
+    }
+
+    /** Returns the length up to which a body is always held unchanged, in bytes. */
+    int unfilteredBytes() {
+        return Math.min(maxBytes, UNFILTERED_BYTES);
+    }
+
+    /** Returns the length that may be held of a body, in bytes. */
+    int maxBytes() {
+        return maxBytes;
+    }
+}
--- a/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
+++ b/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
@@ -4,7 +4,6 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -30,28 +29,45 @@
     /** Header that identifies a call on its connection. */
     public static final String CALL_ID = "Call-Id";
 
-    private static final int MAX_BODY_BYTES = 8 * 1_024 * 1_024;
-
     private final Vertx vertx;
     private final HttpClient client;
     private final ErrorCode failureCode;
+    private final BodyLimit bodyLimit;
     private final Optional<AtomicLong> lastCallId;
 
     /**
-     * Creates a client.
+     * Creates a client for messages.
      *
      * @param vertx runs timers
      * @param client opens connections and sends requests
      * @param failureCode the error code of a call without a complete response
      */
     public TimedHttpClient(Vertx vertx, HttpClient client, ErrorCode failureCode) {
-        this(vertx, client, failureCode, Optional.empty());
+        this(vertx, client, failureCode, BodyLimit.MESSAGES);
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param vertx runs timers
+     * @param client opens connections and sends requests
+     * @param failureCode the error code of a call without a complete response
+     * @param bodyLimit how much of a response body is held
+     */
+    public TimedHttpClient(Vertx vertx, HttpClient client, ErrorCode failureCode, BodyLimit bodyLimit) {
+        this(vertx, client, failureCode, bodyLimit, Optional.empty());
     }
 
-    private TimedHttpClient(Vertx vertx, HttpClient client, ErrorCode failureCode, Optional<AtomicLong> lastCallId) {
+    private TimedHttpClient(
+            Vertx vertx,
+            HttpClient client,
+            ErrorCode failureCode,
+            BodyLimit bodyLimit,
+            Optional<AtomicLong> lastCallId) {
         this.vertx = vertx;
         this.client = client;
         this.failureCode = failureCode;
+        this.bodyLimit = bodyLimit;
         this.lastCallId = lastCallId;
     }
 
@@ -64,7 +80,7 @@
      * @return the client
      */
     public static TimedHttpClient identifyingCalls(Vertx vertx, HttpClient client, ErrorCode failureCode) {
-        return new TimedHttpClient(vertx, client, failureCode, Optional.of(new AtomicLong()));
+        return new TimedHttpClient(vertx, client, failureCode, BodyLimit.MESSAGES, Optional.of(new AtomicLong()));
     }
 
     /**
@@ -137,17 +153,16 @@
 
     private Future<HttpResponse> readBody(HttpClientResponse response) {
         Promise<HttpResponse> complete = Promise.promise();
-        Buffer body = Buffer.buffer();
+        BoundedBody body = bodyLimit.newBody();
         response.handler(part -> {
-            if (body.length() + part.length() <= MAX_BODY_BYTES) {
-                body.appendBuffer(part);
-            } else {
-                complete.tryFail(ServingException.unknown(failureCode, "body exceeds " + MAX_BODY_BYTES + " bytes"));
+            if (!body.append(part)) {
+                complete.tryFail(
+                        ServingException.unknown(failureCode, "body exceeds " + bodyLimit.maxBytes() + " bytes"));
             }
         });
         response.exceptionHandler(complete::tryFail);
-        response.endHandler(
-                ended -> complete.tryComplete(new HttpResponse(response.statusCode(), response.headers(), body)));
+        response.endHandler(ended ->
+                complete.tryComplete(new HttpResponse(response.statusCode(), response.headers(), body.content())));
         return complete.future();
     }
 
