Shorten long strings in large responses of the store

Cause: a response of more than 8 MiB failed, and the feed asked for the same changes again. Evidence: LargeEntryTest red before the store's client used the filter. Change: beyond 1 MiB, strings of more than 64 KiB are shortened while the response arrives; shorter responses are not scanned.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -125,7 +125,7 @@
         this.self = new InstanceRecord(settings.name(), settings.peerAddress(), settings.zone());
         this.tables = new GatewayTables(clock, new PeerTable(self), settings.retry());
         PlatformStore store = platform.openStore(
-                new TimedHttpClient(vertx, newStoreClient(), ErrorCode.STORE_UNAVAILABLE),
+                new TimedHttpClient(vertx, newStoreClient(), ErrorCode.STORE_UNAVAILABLE, BodyLimit.STORED_OBJECTS),
                 settings.storeAddress(),
                 rejectedObjects);
         TimedHttpClient endpointCalls = newEndpointClient(false, MAX_CONNECTIONS_PER_HOST);
