Refuse bodies that do not fit into a quarter of the heap

Cause: bodies were held whole without a limit on their sum, and the deadline began only when a body was complete.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -44,6 +44,7 @@
 import org.pimentovale.gateway.stream.CheckpointedHistory;
 import org.pimentovale.gateway.stream.StreamOrigins;
 import org.pimentovale.gateway.suspect.SuspectTracker;
+import org.pimentovale.kernel.limit.BodyMemory;
 import org.pimentovale.kernel.serving.ServingConfiguration;
 import org.pimentovale.kernel.serving.ServingService;
 import org.pimentovale.kernel.shutdown.ShutdownAdmission;
@@ -76,6 +77,8 @@
     private static final int LOAD_BALANCER_REACTION_MS = 2_600;
     private static final int EXIT_MARGIN_MS = 900;
     private static final int LAST_RESPONSES_MS = 20;
+    // A body is copied while it grows and while it is sent, and the tables take about a quarter of the heap.
+    private static final int BODY_MEMORY_DIVISOR = 4;
     private static final int STATUS_UNAVAILABLE = 503;
     private static final String METRICS_PATH = "/metrics";
 
@@ -86,6 +89,7 @@
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final ServingPlatform platform;
     private final RejectedObjects rejectedObjects = new RejectedObjects(metrics);
+    private final BodyMemory bodyMemory = new BodyMemory(Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR);
     private final InstanceRecord self;
     private final StageDispatchers stageDispatchers;
     private final StageClient stageClient;
@@ -177,11 +181,13 @@
                 state.shutdown(),
                 metrics,
                 platform.stageCodec()::addressOf);
-        this.callerListener = new CallerListener(tables, state, platform.callerCodec(), services);
+        this.callerListener = new CallerListener(tables, state, platform.callerCodec(), services, bodyMemory);
         metrics.registerGauge(
                 "pimentovale_gateway_configuration_version",
                 "Version of the configuration in force.",
                 () -> tables.configuration().map(ServingConfiguration::version).orElse(-1L));
+        metrics.registerGauge(
+                "pimentovale_gateway_body_bytes", "Memory reserved for request bodies.", bodyMemory::reservedBytes);
         metrics.registerGauge("pimentovale_gateway_requests_running", "Requests that run now.", state::runningCount);
         metrics.registerGauge(
                 "pimentovale_gateway_stage_tickets",
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/CallerListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/CallerListener.java
@@ -1,6 +1,5 @@
 package org.pimentovale.gateway.caller;
 
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayList;
@@ -12,6 +11,7 @@
 import org.pimentovale.gateway.GatewayTables;
 import org.pimentovale.gateway.port.CallerAttempt;
 import org.pimentovale.gateway.port.CallerCodec;
+import org.pimentovale.kernel.limit.BodyMemory;
 import org.pimentovale.kernel.membership.RendezvousHash;
 import org.pimentovale.kernel.serving.RequestRouting;
 import org.pimentovale.kernel.serving.RequestRouting.RoutedRequest;
@@ -29,6 +29,7 @@
     private final GatewayState state;
     private final CallerCodec callerCodec;
     private final RequestServices services;
+    private final BodyMemory bodyMemory;
     private final CallerConnections connections = new CallerConnections();
     private final List<HeldRequest> held = new ArrayList<>();
 
@@ -42,12 +43,19 @@
      * @param state tracks the running requests
      * @param callerCodec decodes the callers' headers
      * @param services the collaborators of each execution
+     * @param bodyMemory the memory for the bodies of all requests
      */
-    public CallerListener(GatewayTables tables, GatewayState state, CallerCodec callerCodec, RequestServices services) {
+    public CallerListener(
+            GatewayTables tables,
+            GatewayState state,
+            CallerCodec callerCodec,
+            RequestServices services,
+            BodyMemory bodyMemory) {
         this.tables = tables;
         this.state = state;
         this.callerCodec = callerCodec;
         this.services = services;
+        this.bodyMemory = bodyMemory;
     }
 
     /**
@@ -199,38 +207,32 @@
             RoutedRequest routed,
             long maxBytes,
             long arrivedMs) {
-        Buffer body = Buffer.buffer();
+        RequestBody body = new RequestBody(http.headers(), bodyMemory.newReservation(), maxBytes);
         long callerTimeoutMs = attempt.deadlineMs().orElse(routed.route().timeoutMs());
         CallerRequest request = new CallerRequest(
                 attempt,
                 http.method(),
                 http.uri(),
                 http.headers(),
-                hasBody(http) ? Optional.of(body) : Optional.empty(),
+                body.content(),
                 routed,
                 arrivedMs,
                 arrivedMs + Math.min(callerTimeoutMs, routed.route().timeoutMs()));
         RequestExecution execution =
                 new RequestExecution(request, callerResponse, tables, services, ended -> callerResponse
                         .written()
-                        .onComplete(done -> state.remove(ended)));
+                        .onComplete(done -> {
+                            state.remove(ended);
+                            body.release();
+                        }));
         state.add(execution);
         http.response().closeHandler(closed -> {
             callerResponse.connectionClosed();
             execution.callerDisconnected();
         });
-        http.handler(part -> {
-            if (body.length() + part.length() > maxBytes) {
-                execution.fail(
-                        ServingException.notRun(ErrorCode.BODY_TOO_LARGE, "body exceeds " + maxBytes + " bytes"));
-            } else {
-                body.appendBuffer(part);
-            }
-        });
+        execution.awaitBody();
+        body.reserveAnnounced().ifPresent(execution::fail);
+        http.handler(part -> body.add(part).ifPresent(execution::fail));
         http.endHandler(ended -> execution.start());
     }
-
-    private static boolean hasBody(HttpServerRequest http) {
-        return http.headers().contains("Content-Length") || http.headers().contains("Transfer-Encoding");
-    }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
@@ -55,7 +55,7 @@
     /**
      * Creates an execution.
      *
-     * @param request the request, whose body must be complete when {@link #start} is called
+     * @param request the request, whose body must be complete when {@link #start} is called, after {@link #awaitBody}
      * @param callerResponse writes the response
      * @param tables the gateway's state
      * @param services the collaborators of the execution
@@ -79,14 +79,18 @@
         this.shutdownGate = new ShutdownGate(request, tables, services.shutdown(), log);
     }
 
+    /** Starts the timer of the deadline, which counts while the body is still being received. */
+    void awaitBody() {
+        long remainingMs = request.deadlineMs() - tables.nowMs();
+        deadlineTimer = services.vertx().setTimer(Math.max(1, remainingMs), fired -> expire());
+    }
+
     /** Starts the execution after the request has been read completely. */
     public void start() {
         if (ended) {
             return;
         }
         started = true;
-        long remainingMs = request.deadlineMs() - tables.nowMs();
-        deadlineTimer = services.vertx().setTimer(Math.max(1, remainingMs), fired -> expire());
         if (refuseInShutdown(shutdownGate.checkRequest()) || refuseQuarantined()) {
             return;
         }
