--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -77,8 +77,8 @@
     private static final int LOAD_BALANCER_REACTION_MS = 2_600;
     private static final int EXIT_MARGIN_MS = 900;
     private static final int LAST_RESPONSES_MS = 20;
-    // A body is copied while it grows and while it is sent, and the tables take about a quarter of the heap.
-    private static final int BODY_MEMORY_DIVISOR = 4;
+    // The tables and the work in progress take about a quarter of the heap; the rest is room for short-lived objects.
+    private static final double BODY_MEMORY_SHARE = 0.375;
     private static final int STATUS_UNAVAILABLE = 503;
     private static final String METRICS_PATH = "/metrics";
 
@@ -89,7 +89,8 @@
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final ServingPlatform platform;
     private final RejectedObjects rejectedObjects = new RejectedObjects(metrics);
-    private final BodyMemory bodyMemory = new BodyMemory(Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR);
+    private final BodyMemory bodyMemory =
+            new BodyMemory((long) (BODY_MEMORY_SHARE * Runtime.getRuntime().maxMemory()));
     private final InstanceRecord self;
     private final StageDispatchers stageDispatchers;
     private final StageClient stageClient;
