--- a/gateway/src/main/java/org/pimentovale/gateway/feed/PartialList.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/PartialList.java
@@ -11,7 +11,9 @@
  * The pages of a list that have been received.
  *
  * <p>The list is complete up to the revision of its first page: of what changed later, objects of pages that had been
- * received already show nothing. Invariant: all pages belong to the same era of the store. Not thread safe; used on one event loop.
+ * received already show nothing.
+ *
+ * <p>Invariant: all pages belong to the same era of the store. Not thread safe; used on one event loop.
  */
 final class PartialList {
     private final List<ObjectEntry> entries = new ArrayList<>();
--- a/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
@@ -16,8 +16,8 @@
  * The endpoints that the platform lists, with the state that this instance observed of each.
  *
  * <p>Entries that are missing after a store outage may have expired only because of the outage. They stay usable for
- * {@link #EXPIRY_GRACE_PERIOD_MS} after the store is reachable again and are removed afterwards. The period applies only
- * if the outage was long enough for that, and ends before removals after the outage have to be in force.
+ * {@link #EXPIRY_GRACE_PERIOD_MS} after the store is reachable again and are removed afterwards. The period applies
+ * only if the outage was long enough for that, and ends before removals after the outage have to be in force.
  *
  * <p>An endpoint may say in a response that it is leaving, or refuse a request and name a delay. Such a notice is bound
  * to the endpoint's incarnation: it outlasts the removal of the entry and older entries, and ends with a later
--- a/kernel/src/main/java/org/pimentovale/kernel/history/ObjectHistory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/history/ObjectHistory.java
@@ -11,10 +11,11 @@
 /**
  * Decides which statements of the store about the objects of one kind are believed.
  *
- * <p>Within an era the store's revision orders all statements. A list may contain writes later than its revision, and the
- * changes after that revision then repeat what led up to them; they are ignored. A store that is restored from a backup has lost its last
- * writes and removals; their writers write them again after a while. Until then, what was confirmed before the restore
- * stays in force:
+ * <p>Within an era the store's revision orders all statements. A list may contain writes later than its revision, and
+ * the changes after that revision then repeat what led up to them; they are ignored.
+ *
+ * <p>A store that is restored from a backup has lost its last writes and removals; their writers write them again after
+ * a while. Until then, what was confirmed before the restore stays in force:
  *
  * <ul>
  *   <li>an object whose writer stamps its writes keeps its state while the store states an older write;
