Let a response of the store that has begun take longer; replace a watch before it is cancelled

Suspected, as the logs were not kept: 24 MB do not arrive within a call's timeout, and requests during an outage have only 600 ms. A response of the store that has begun gets 4 s more.

--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -128,8 +128,9 @@
     void noteOutage(StoreOutage outage) {
         boolean mayBeLost = !listing && contact.available() && contact.lastResponseMs() < outage.lastFailureMs();
         if (mayBeLost && !stopped) {
-            pendingWatch.ifPresent(watch -> watch.cancel().run());
+            Optional<PendingWatch> replaced = pendingWatch;
             check();
+            replaced.ifPresent(watch -> watch.cancel().run());
         }
     }
 
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/FeedOutageTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/FeedOutageTest.java
@@ -107,6 +107,7 @@
             fixture.answer(check, FeedFixture.changes("changed"));
 
             assertThat(FeedFixture.take(fixture.received)).isEqualTo("changed");
+            assertThat(fixture.outages).isEmpty();
         }
 
         @Test
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/HeldStore.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/HeldStore.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import org.pimentovale.error.ErrorCode;
+import org.pimentovale.error.ServingException;
 import org.pimentovale.gateway.port.InstanceRecord;
 import org.pimentovale.gateway.port.ObjectChanges;
 import org.pimentovale.gateway.port.ObjectKind;
@@ -34,7 +36,12 @@
     public PendingWatch watch(ObjectKind kind, long revision, int waitMs) {
         Watch watch = new Watch(revision, waitMs, Promise.promise());
         watches.add(watch);
-        return new PendingWatch(watch.response().future(), () -> cancelled.add(watch));
+        return new PendingWatch(watch.response().future(), () -> cancel(watch));
+    }
+
+    private void cancel(Watch watch) {
+        cancelled.add(watch);
+        watch.response().tryFail(ServingException.unknown(ErrorCode.STORE_UNAVAILABLE, "cancelled"));
     }
 
     @Override
--- a/store/src/main/java/org/pimentovale/store/http/BodyLimit.java
+++ b/store/src/main/java/org/pimentovale/store/http/BodyLimit.java
@@ -5,7 +5,7 @@
 /** How much of a response body a client holds in memory. Immutable and thread safe. */
 public enum BodyLimit {
     /** For responses that contain many objects. */
-    MESSAGES(8 * 1_024 * 1_024) {
+    MESSAGES(8 * 1_024 * 1_024, 0) {
         @Override
         Optional<LongStringFilter> newFilter() {
             return Optional.empty();
@@ -15,7 +15,7 @@
      * For calls for pieces, whose results take less than a hundred bytes each. Faulty endpoints may send bodies without
      * end in all calls at the same time.
      */
-    SHORT_RESPONSES(256 * 1_024) {
+    SHORT_RESPONSES(256 * 1_024, 0) {
         @Override
         Optional<LongStringFilter> newFilter() {
             return Optional.empty();
@@ -23,9 +23,10 @@
     },
     /**
      * For objects of a store to which others write as well: strings that are longer than any in use are shortened, so
-     * that large objects of others leave room for the rest of the response.
+     * that large objects of others leave room for the rest of the response. What accumulated during an outage may take
+     * longer to receive than a call without it.
      */
-    STORED_OBJECTS(8 * 1_024 * 1_024) {
+    STORED_OBJECTS(8 * 1_024 * 1_024, 4_000) {
         @Override
         Optional<LongStringFilter> newFilter() {
             return Optional.of(new LongStringFilter(MAX_STRING_BYTES));
@@ -36,9 +37,11 @@
     private static final int UNFILTERED_BYTES = 1_024 * 1_024;
 
     private final int maxBytes;
+    private final int extraTimeMs;
 
-    BodyLimit(int maxBytes) {
+    BodyLimit(int maxBytes, int extraTimeMs) {
         this.maxBytes = maxBytes;
+        this.extraTimeMs = extraTimeMs;
     }
 
     /** Creates the filter for a body that exceeds {@link #unfilteredBytes}, empty if such a body is held unchanged. */
@@ -53,6 +56,11 @@
         return Math.min(maxBytes, UNFILTERED_BYTES);
     }
 
+    /** Returns the time for a body beyond the timeout of its call, in milliseconds. */
+    int extraTimeMs() {
+        return extraTimeMs;
+    }
+
     /** Returns the length that may be held of a body, in bytes. */
     int maxBytes() {
         return maxBytes;
--- a/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
+++ b/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
@@ -9,12 +9,14 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
 
 /**
- * Sends HTTP calls that end within their timeout.
+ * Sends HTTP calls that end within their timeout, or within the extra time of their kind of response if that has begun
+ * by then.
  *
  * <p>A client that identifies its calls sends {@link #CALL_ID} with each of them, and a server of the same product
  * returns it. A response with another identifier belongs to an earlier call on the connection and fails the present
@@ -109,18 +111,30 @@
                 .setPort(httpCall.port())
                 .setURI(httpCall.path())
                 .setHeaders(headers);
+        AtomicBoolean headReceived = new AtomicBoolean();
         client.request(options)
-                .onSuccess(request -> send(request, httpCall, promise))
+                .onSuccess(request -> send(request, httpCall, promise, headReceived))
                 .onFailure(failure ->
                         promise.tryFail(ServingException.notRun(failureCode, String.valueOf(failure.getMessage()))));
-        long timer = vertx.setTimer(
-                Math.max(1, httpCall.timeoutMs()),
-                fired -> promise.tryFail(ServingException.unknown(
-                        failureCode, "no complete response within " + httpCall.timeoutMs() + " ms")));
-        return promise.future().andThen(result -> vertx.cancelTimer(timer));
+        limitTime(httpCall.timeoutMs(), bodyLimit.extraTimeMs(), headReceived, promise);
+        return promise.future();
     }
 
-    private void send(HttpClientRequest request, HttpCall httpCall, Promise<HttpResponse> promise) {
+    /** Fails a call after its timeout, or after some more time if its response has begun by then. */
+    private void limitTime(int timeoutMs, int extraTimeMs, AtomicBoolean headReceived, Promise<HttpResponse> promise) {
+        long timer = vertx.setTimer(Math.max(1, timeoutMs), fired -> {
+            if (headReceived.get() && extraTimeMs > 0) {
+                limitTime(extraTimeMs, 0, headReceived, promise);
+            } else {
+                promise.tryFail(
+                        ServingException.unknown(failureCode, "no complete response within " + timeoutMs + " ms"));
+            }
+        });
+        promise.future().onComplete(result -> vertx.cancelTimer(timer));
+    }
+
+    private void send(
+            HttpClientRequest request, HttpCall httpCall, Promise<HttpResponse> promise, AtomicBoolean headReceived) {
         // The call ended while it waited for a pooled connection; it must not be sent any more.
         if (promise.future().isComplete()) {
             request.reset();
@@ -132,6 +146,7 @@
         (httpCall.body().isEmpty()
                         ? request.send()
                         : request.send(httpCall.body().get()))
+                .onSuccess(response -> headReceived.set(true))
                 .compose(response -> belongsTo(callId, response)
                         ? readBody(response)
                         : Future.failedFuture(ServingException.unknown(
