Break an unframed stream off that ends inside a block of lines

What callers saw: a stream without length and chunks that ended after a line of a comment, before the event that the comment belongs to, was framed as complete. Why this works: a block of lines ends with an empty line, comments included, so an end at any other place leaves bytes since the last empty line.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
@@ -13,8 +13,8 @@
  *
  * <p>The first part of a body is held back, so that a response which breaks off early can be replaced by a failure or
  * by the response of another endpoint; a stream of events is relayed at once. Invariants: the memory used is bounded,
- * however long the body is; a stream that ends inside an event, or without framing inside a line or before its first
- * event, is never relayed as complete. Not thread safe; used on one event loop.
+ * however long the body is; a stream that ends inside an event, or without framing inside a block of lines or before its
+ * first event, is never relayed as complete. Not thread safe; used on one event loop.
  */
 final class ResponseRelay {
     private static final int MAX_HELD_BYTES = 256 * 1_024;
@@ -134,8 +134,8 @@
         }
         if (events.filter(EventStreamParser::insideEvent).isPresent()) {
             breakOff("the stream ended inside an event");
-        } else if (!framed() && events.filter(EventStreamParser::insideLine).isPresent()) {
-            breakOff("the connection ended inside a line");
+        } else if (!framed() && events.filter(EventStreamParser::insideBlock).isPresent()) {
+            breakOff("the connection ended inside a block of lines");
         } else if (events.filter(parser -> parser.completeEvents() == 0).isPresent() && !framed()) {
             breakOff("the connection ended without an event");
         } else {
--- a/kernel/src/main/java/org/pimentovale/kernel/stream/EventStreamParser.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/stream/EventStreamParser.java
@@ -79,16 +79,17 @@
     }
 
     /**
-     * Tells whether the stream so far ends within a line, of an event or of a comment, or within the end of a line.
+     * Tells whether the stream so far ends within a block of lines, of which comments are a part too. A block ends with
+     * an empty line.
      *
      * @return whether at least one more byte is missing
      */
-    public boolean insideLine() {
-        return !atLineStart || (afterCarriageReturn && endsLinesWithBoth);
+    public boolean insideBlock() {
+        return openEventBytes > 0 || (afterCarriageReturn && endsLinesWithBoth);
     }
 
     /**
-     * Returns the length of the input since the last end of an event.
+     * Returns the length of the input since the last empty line.
      *
      * @return the number of bytes
      */
--- a/kernel/src/test/java/org/pimentovale/kernel/stream/EventStreamParserTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/stream/EventStreamParserTest.java
@@ -42,23 +42,30 @@
     }
 
     @Nested
-    class ALine {
+    class ABlockOfLines {
         @Test
-        void isOpenBeforeItsEnd() {
-            assertThat(parse("id: 1\ndata: a\n\n: keep").insideLine()).isTrue();
-            assertThat(parse("id: 1\ndata").insideLine()).isTrue();
+        void isOpenInsideALine() {
+            assertThat(parse("id: 1\ndata: a\n\n: keep").insideBlock()).isTrue();
+            assertThat(parse("id: 1\ndata").insideBlock()).isTrue();
         }
 
         @Test
         void isOpenWithinAnEndOfTwoBytes() {
-            assertThat(parse("id: 1\r\ndata: a\r\n\r").insideLine()).isTrue();
-            assertThat(parse("id: 1\r\ndata: a\r\n\r\n").insideLine()).isFalse();
+            assertThat(parse("id: 1\r\ndata: a\r\n\r").insideBlock()).isTrue();
+            assertThat(parse("id: 1\r\ndata: a\r\n\r\n").insideBlock()).isFalse();
+        }
+
+        @Test
+        void isOpenBeforeItsEmptyLine() {
+            assertThat(parse("id: 1\ndata: a\n\n: keep-alive\n").insideBlock()).isTrue();
+            assertThat(parse("id: 1\ndata: a\n\n: keep-alive\n\n").insideBlock())
+                    .isFalse();
         }
 
         @Test
         void endsWithOneByteWhereAllLinesDo() {
-            assertThat(parse("id: 1\rdata: a\r\r").insideLine()).isFalse();
-            assertThat(parse("id: 1\ndata: a\n\n").insideLine()).isFalse();
+            assertThat(parse("id: 1\rdata: a\r\r").insideBlock()).isFalse();
+            assertThat(parse("id: 1\ndata: a\n\n").insideBlock()).isFalse();
         }
     }
 
