Take only a last chunked coding for a marked end of a body

What callers saw: a stream with Transfer-Encoding: identity that the connection ended inside a comment, or before its first event, was framed as complete. Cause: any Transfer-Encoding header counted as framing, so that the checks for bodies that end with their connection were left out. Evidence: UnmarkedEndTest$WithATransferCodingOtherThanChunks on the code before: red. Why this works: by RFC 9112, section 6.3, a body whose last coding is not chunked ends with its connection; BodyFraming says so.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpVersion;
 import java.util.Optional;
 import org.pimentovale.gateway.port.EndpointCodec;
+import org.pimentovale.kernel.response.BodyFraming;
 import org.pimentovale.kernel.stream.EventStreamParser;
 
 /**
@@ -155,9 +156,11 @@
 
     /** Tells whether the end of the body is marked, so that it does not only end with its connection. */
     private boolean framed() {
-        return response.headers().contains("Content-Length")
-                || (response.version() == HttpVersion.HTTP_1_1
-                        && response.headers().contains("Transfer-Encoding"));
+        return BodyFraming.of(
+                        response.version() == HttpVersion.HTTP_1_1,
+                        Optional.ofNullable(response.getHeader("Transfer-Encoding")),
+                        Optional.ofNullable(response.getHeader("Content-Length")))
+                .marksEnd();
     }
 
     private void breakOff(String reason) {
