Judge the end of each response in one place; a reset during the upload is no end

What callers saw: a stream or a body without length and chunks whose connection was reset while the request was still being written was framed as complete (200, signature, short body). Cause: the operating system reports a reset once. The write that was in progress takes the report and closes the channel, and the HTTP decoder turns each end of the channel into the end of an unframed body. Why this works: an end of the connection counts only if the request was passed to the operating system as a whole before; then nothing is left to write that could take the report. ResponseRecorder takes the bookkeeping out of RequestExecution.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
@@ -15,6 +15,8 @@
 import org.pimentovale.kernel.directory.EndpointRecord;
 import org.pimentovale.kernel.directory.EndpointState;
 import org.pimentovale.kernel.directory.EndpointWait;
+import org.pimentovale.kernel.response.BodyFraming;
+import org.pimentovale.kernel.response.ResponseEnd;
 import org.pimentovale.kernel.serving.RequestKind;
 import org.pimentovale.kernel.serving.ServingRoute;
 import org.pimentovale.kernel.serving.ServingService;
@@ -42,6 +44,7 @@
     private final EndpointCandidates candidates;
     private final EndpointSender sender;
     private final RequestLog log;
+    private final ResponseRecorder recorder;
     private final SendHistory history;
     private final ShutdownGate shutdownGate;
     private Optional<StagePhase> stagePhase = Optional.empty();
@@ -75,6 +78,7 @@
         this.candidates = new EndpointCandidates(request, tables);
         this.sender = new EndpointSender(request, services);
         this.log = new RequestLog(request, tables);
+        this.recorder = new ResponseRecorder(request, tables, services, log);
         this.history = new SendHistory(request.routed().route());
         this.shutdownGate = new ShutdownGate(request, tables, services.shutdown(), log);
     }
@@ -324,7 +328,14 @@
         } else {
             boolean stream = request.isStream() && head.status() < 300;
             RelayedCall relayedCall = new RelayedCall(call, head.status(), stream);
-            new ResponseRelay(response, callerResponse, services.endpointCodec(), stream, relayedCall).start();
+            new ResponseRelay(
+                            response,
+                            callerResponse,
+                            services.endpointCodec(),
+                            stream,
+                            call.pendingRequest()::written,
+                            relayedCall)
+                    .start();
         }
     }
 
@@ -382,28 +393,21 @@
         }
 
         @Override
-        public void begun(boolean framed) {
+        public void begun(BodyFraming framing) {
             stagePhase.ifPresent(StagePhase::end);
             if (stream) {
-                long waitedMs = tables.nowMs() - call.sentMs();
-                String route = request.routed().route().name();
-                tables.firstEventEstimates().record(route, (double) waitedMs);
-                services.metrics().recordFirstEvent(route, waitedMs);
-                log.info(
-                        "stream_begun",
-                        "endpoint",
-                        call.endpoint().latest().identifier(),
-                        "waited_ms",
-                        waitedMs,
-                        "framed",
-                        framed);
+                recorder.streamBegun(call, framing);
             }
         }
 
         @Override
         public void continued() {
-            call.markAnswerContinued();
-            services.suspects().recordAnswer(request.attempt().sharedParts());
+            recorder.continued(call);
+        }
+
+        @Override
+        public void ended(BodyFraming framing, ResponseEnd end) {
+            recorder.bodyEnded(call, framing, end);
         }
 
         @Override
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
@@ -5,8 +5,10 @@
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.HttpVersion;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.pimentovale.gateway.port.EndpointCodec;
 import org.pimentovale.kernel.response.BodyFraming;
+import org.pimentovale.kernel.response.ResponseEnd;
 import org.pimentovale.kernel.stream.EventStreamParser;
 
 /**
@@ -14,8 +16,8 @@
  *
  * <p>The first part of a body is held back, so that a response which breaks off early can be replaced by a failure or
  * by the response of another endpoint; a stream of events is relayed at once. Invariants: the memory used is bounded,
- * however long the body is; a stream that ends inside an event, or without framing inside a block of lines or before its
- * first event, is never relayed as complete. Not thread safe; used on one event loop.
+ * however long the body is; the caller's body is ended only if {@link ResponseEnd} judges the endpoint's as whole. Not
+ * thread safe; used on one event loop.
  */
 final class ResponseRelay {
     private static final int MAX_HELD_BYTES = 256 * 1_024;
@@ -27,6 +29,8 @@
     private final EndpointCodec codec;
     private final Listener listener;
     private final Optional<EventStreamParser> events;
+    private final BodyFraming framing;
+    private final BooleanSupplier requestWritten;
     private final Buffer held = Buffer.buffer();
     private Optional<HttpServerResponse> target = Optional.empty();
     private boolean continued;
@@ -39,13 +43,21 @@
         /**
          * Called before the first byte is sent to the caller, unless the response is sent as a whole.
          *
-         * @param framed whether the end of the body is marked; otherwise it ends with its connection
+         * @param framing how the end of the body is marked
          */
-        void begun(boolean framed);
+        void begun(BodyFraming framing);
 
         /** Called once when the endpoint has continued its answer after its beginning. */
         void continued();
 
+        /**
+         * Called when the body has ended, before {@link #completed} or {@link #broken}.
+         *
+         * @param framing how the end of the body is marked
+         * @param end what was decided
+         */
+        void ended(BodyFraming framing, ResponseEnd end);
+
         /** Called when the complete response has been sent to the caller. */
         void completed();
 
@@ -64,6 +76,7 @@
      * @param callerResponse the response to the caller
      * @param codec selects the headers that are relayed
      * @param stream whether the response is a stream of events
+     * @param requestWritten tells whether the request has been written to the endpoint as a whole
      * @param listener receives the progress
      */
     ResponseRelay(
@@ -71,11 +84,14 @@
             CallerResponse callerResponse,
             EndpointCodec codec,
             boolean stream,
+            BooleanSupplier requestWritten,
             Listener listener) {
         this.response = response;
         this.callerResponse = callerResponse;
         this.codec = codec;
         this.events = stream ? Optional.of(new EventStreamParser()) : Optional.empty();
+        this.framing = framingOf(response);
+        this.requestWritten = requestWritten;
         this.listener = listener;
     }
 
@@ -114,7 +130,7 @@
 
     private void write(Buffer part) {
         if (target.isEmpty()) {
-            listener.begun(framed());
+            listener.begun(framing);
             target = Optional.of(callerResponse.startChunked(
                     response.statusCode(), response.statusMessage(), codec.responseHeaders(response.headers())));
             if (held.length() > 0) {
@@ -133,14 +149,12 @@
         if (!listener.active()) {
             return;
         }
-        if (events.filter(EventStreamParser::insideEvent).isPresent()) {
-            breakOff("the stream ended inside an event");
-        } else if (!framed() && events.filter(EventStreamParser::insideBlock).isPresent()) {
-            breakOff("the connection ended inside a block of lines");
-        } else if (events.filter(parser -> parser.completeEvents() == 0).isPresent() && !framed()) {
-            breakOff("the connection ended without an event");
-        } else {
+        ResponseEnd end = ResponseEnd.judge(framing, requestWritten.getAsBoolean(), events);
+        listener.ended(framing, end);
+        if (end == ResponseEnd.WHOLE) {
             complete();
+        } else {
+            breakOff(end.description());
         }
     }
 
@@ -154,13 +168,11 @@
         listener.completed();
     }
 
-    /** Tells whether the end of the body is marked, so that it does not only end with its connection. */
-    private boolean framed() {
+    private static BodyFraming framingOf(HttpClientResponse response) {
         return BodyFraming.of(
-                        response.version() == HttpVersion.HTTP_1_1,
-                        Optional.ofNullable(response.getHeader("Transfer-Encoding")),
-                        Optional.ofNullable(response.getHeader("Content-Length")))
-                .marksEnd();
+                response.version() == HttpVersion.HTTP_1_1,
+                Optional.ofNullable(response.getHeader("Transfer-Encoding")),
+                Optional.ofNullable(response.getHeader("Content-Length")));
     }
 
     private void breakOff(String reason) {
--- a/gateway/src/main/java/org/pimentovale/gateway/endpoint/EndpointClient.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/endpoint/EndpointClient.java
@@ -32,6 +32,7 @@
         private final Promise<HttpClientResponse> head = Promise.promise();
         private final Consumer<HttpClientResponse> observer;
         private Optional<HttpClientRequest> request = Optional.empty();
+        private boolean written;
 
         private PendingRequest(Consumer<HttpClientResponse> observer) {
             this.observer = observer;
@@ -47,6 +48,15 @@
             return head.future();
         }
 
+        /**
+         * Tells whether the request was written as a whole.
+         *
+         * @return whether all its bytes were passed to the operating system
+         */
+        public boolean written() {
+            return written;
+        }
+
         /** Cancels the request and closes its connection, so that the endpoint stops processing it. */
         public void cancel() {
             head.tryFail(ServingException.unknown(ErrorCode.CALLER_LEFT, "request cancelled"));
@@ -126,10 +136,7 @@
             }
         });
         limitInterimResponses(request, pending);
-        if (body.isPresent()) {
-            request.end(body.get());
-        } else {
-            request.end();
-        }
+        Future<Void> end = body.isPresent() ? request.end(body.get()) : request.end();
+        end.onSuccess(ended -> pending.written = true);
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/metric/GatewayMetrics.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/metric/GatewayMetrics.java
@@ -47,6 +47,12 @@
             .help("Calls to endpoints that failed or were refused, by service and reason.")
             .labelNames("service", "reason")
             .register(registry);
+    private final Counter responseEnds = Counter.builder()
+            .name("pimentovale_gateway_response_ends")
+            .help(
+                    "Ends of responses that only the connection marked or that were judged as broken, by service and end.")
+            .labelNames("service", "end")
+            .register(registry);
     private final Counter endpointNotices = Counter.builder()
             .name("pimentovale_gateway_endpoint_notices")
             .help("Endpoints that said they are leaving or take no requests for some time, and ignored headers.")
@@ -113,6 +119,16 @@
         endpointFailures.labelValues(service, reason).inc();
     }
 
+    /**
+     * Counts the end of a response that had to be judged.
+     *
+     * @param service the endpoint's service
+     * @param end the label of what was decided
+     */
+    public void recordResponseEnd(String service, String end) {
+        responseEnds.labelValues(service, end).inc();
+    }
+
     /**
      * Counts a notice of an endpoint in one of its responses.
      *
--- /dev/null
+++ b/kernel/src/main/java/org/pimentovale/kernel/response/ResponseEnd.java
@@ -0,0 +1,74 @@
+package org.pimentovale.kernel.response;
+
+import java.util.Locale;
+import java.util.Optional;
+import org.pimentovale.kernel.stream.EventStreamParser;
+
+/**
+ * Decides whether a response whose body has ended without a reported failure is whole.
+ *
+ * <p>A body whose end is not marked ends with its connection, and a connection that was reset may be reported as ended:
+ * the operating system reports a reset once, and a write that is still in progress takes that report. Such a body is
+ * therefore whole only if the request had been written before. The decision does not depend on load. Immutable and
+ * thread safe.
+ */
+public enum ResponseEnd {
+    /** Nothing is missing. */
+    WHOLE("whole"),
+    /** The stream ended inside an event. */
+    INSIDE_EVENT("the stream ended inside an event"),
+    /** The connection ended after a part of a line, or after lines without the empty line that ends them. */
+    INSIDE_BLOCK("the connection ended inside a block of lines"),
+    /** The connection ended before the first event. */
+    NO_EVENT("the connection ended without an event"),
+    /** The connection ended while the request was still being written. */
+    REQUEST_UNWRITTEN("the connection ended while the request was being written");
+
+    private final String description;
+
+    ResponseEnd(String description) {
+        this.description = description;
+    }
+
+    /**
+     * Judges a response.
+     *
+     * @param framing how the end of the body is marked
+     * @param requestWritten whether all bytes of the request had been passed to the operating system
+     * @param events the parser that has seen the whole body; empty if the body is no stream of events
+     * @return whether the response is whole, otherwise what is missing
+     */
+    public static ResponseEnd judge(BodyFraming framing, boolean requestWritten, Optional<EventStreamParser> events) {
+        if (events.filter(EventStreamParser::insideEvent).isPresent()) {
+            return INSIDE_EVENT;
+        }
+        if (framing.marksEnd()) {
+            return WHOLE;
+        }
+        if (!requestWritten) {
+            return REQUEST_UNWRITTEN;
+        }
+        if (events.filter(EventStreamParser::insideBlock).isPresent()) {
+            return INSIDE_BLOCK;
+        }
+        return events.filter(parser -> parser.completeEvents() == 0).isPresent() ? NO_EVENT : WHOLE;
+    }
+
+    /**
+     * Returns a text for logs and error messages.
+     *
+     * @return what has ended, and where
+     */
+    public String description() {
+        return description;
+    }
+
+    /**
+     * Returns the value for labels of metrics.
+     *
+     * @return the name in lower case with hyphens
+     */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/kernel/src/test/java/org/pimentovale/kernel/response/ResponseEndTest.java
@@ -0,0 +1,80 @@
+package org.pimentovale.kernel.response;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pimentovale.kernel.stream.EventStreamParser;
+
+/** Verifies which responses count as whole. */
+class ResponseEndTest {
+    private static final String EVENT = "id: 1\ndata: one\n\n";
+
+    private static Optional<EventStreamParser> stream(String bytes) {
+        EventStreamParser parser = new EventStreamParser();
+        parser.accept(bytes.getBytes(StandardCharsets.UTF_8));
+        return Optional.of(parser);
+    }
+
+    private static ResponseEnd ofConnection(String bytes) {
+        return ResponseEnd.judge(BodyFraming.CONNECTION, true, stream(bytes));
+    }
+
+    @Nested
+    class AMarkedEnd {
+        @Test
+        void isWholeAlsoBeforeTheRequestIsWritten() {
+            assertThat(ResponseEnd.judge(BodyFraming.LENGTH, false, Optional.empty()))
+                    .isEqualTo(ResponseEnd.WHOLE);
+            assertThat(ResponseEnd.judge(BodyFraming.CHUNKS, false, stream(EVENT)))
+                    .isEqualTo(ResponseEnd.WHOLE);
+        }
+
+        @Test
+        void isBrokenOffInsideAnEvent() {
+            assertThat(ResponseEnd.judge(BodyFraming.CHUNKS, true, stream(EVENT + "id: 2\n")))
+                    .isEqualTo(ResponseEnd.INSIDE_EVENT);
+        }
+
+        @Test
+        void mayFollowACommentOrNoEvent() {
+            assertThat(ResponseEnd.judge(BodyFraming.CHUNKS, true, stream(EVENT + ": end\n")))
+                    .isEqualTo(ResponseEnd.WHOLE);
+            assertThat(ResponseEnd.judge(BodyFraming.LENGTH, true, stream(""))).isEqualTo(ResponseEnd.WHOLE);
+        }
+    }
+
+    @Nested
+    class AnEndOfTheConnection {
+        @Test
+        void isWholeBetweenEvents() {
+            assertThat(ofConnection(EVENT + EVENT)).isEqualTo(ResponseEnd.WHOLE);
+            assertThat(ResponseEnd.judge(BodyFraming.CONNECTION, true, Optional.empty()))
+                    .isEqualTo(ResponseEnd.WHOLE);
+        }
+
+        @Test
+        void isBrokenOffAtEachOtherPlace() {
+            String second = ": comment\nid: 2\ndata: two\n\n";
+            for (int length = 1; length < second.length(); length++) {
+                assertThat(ofConnection(EVENT + second.substring(0, length))).isNotEqualTo(ResponseEnd.WHOLE);
+            }
+        }
+
+        @Test
+        void isBrokenOffBeforeTheFirstEvent() {
+            assertThat(ofConnection("")).isEqualTo(ResponseEnd.NO_EVENT);
+            assertThat(ofConnection(": comment\n\n")).isEqualTo(ResponseEnd.NO_EVENT);
+        }
+
+        @Test
+        void isBrokenOffWhileTheRequestIsBeingWritten() {
+            assertThat(ResponseEnd.judge(BodyFraming.CONNECTION, false, stream(EVENT)))
+                    .isEqualTo(ResponseEnd.REQUEST_UNWRITTEN);
+            assertThat(ResponseEnd.judge(BodyFraming.CONNECTION, false, Optional.empty()))
+                    .isEqualTo(ResponseEnd.REQUEST_UNWRITTEN);
+        }
+    }
+}
