Give the owner of a stage's queue the retry share of all requests it serves

Cause: the queue of a service belongs to one gateway, which sends the pieces of all requests, but it had only its part of the slack: 2 retries in 10 s among 74 gateways, and no share of the requests, since it recorded none. Why this works: the owner records each stage of a request as a first attempt, so the ratio holds over all gateways whoever owns the queue; no owner exceeds half of the common slack, so two owners within one window keep to it.

--- a/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/GatewayTables.java
@@ -29,6 +29,7 @@
     /** A gateway that shuts down uses its budget for nearly a window after it has left the list. */
     private static final long WINDOWS_OF_DEPARTED_INSTANCES = 2;
 
+    private static final int OWNERS_PER_WINDOW = 2;
     private static final double INITIAL_FIRST_EVENT_ESTIMATE_MS = 150;
 
     private final MonotonicClock clock;
@@ -39,6 +40,7 @@
     private final DurationEstimates firstEventEstimates = new DurationEstimates(INITIAL_FIRST_EVENT_ESTIMATE_MS);
     private final RetryBudgetSettings retryBudgetSettings;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
+    private final Map<String, WindowedRetryBudget> pieceRetryBudgets = new HashMap<>();
     private final RecentMaximum instanceCounts;
     private final long startedMs;
     private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -176,6 +178,37 @@
                         startedMs));
     }
 
+    /**
+     * Returns the budget for pieces of a service's stages that are sent again.
+     *
+     * <p>One gateway, the owner, sends the pieces of all requests, so the first attempts that it records are those of
+     * all gateways. Two gateways that own the service within one window stay within the common slack together.
+     *
+     * @param service the service's name
+     * @return the budget, created on first use
+     */
+    public WindowedRetryBudget pieceRetryBudget(String service) {
+        return pieceRetryBudgets.computeIfAbsent(
+                service,
+                unused -> new WindowedRetryBudget(
+                        retryBudgetSettings.ratio(),
+                        retryBudgetSettings.slack(),
+                        retryBudgetSettings.windowMs(),
+                        startedMs,
+                        retryBudgetSettings.slack() / OWNERS_PER_WINDOW));
+    }
+
+    /**
+     * Takes one retry from a service's budget for pieces.
+     *
+     * @param service the service's name
+     * @return false if the budget is exhausted, or the other gateways that share it are not known yet
+     */
+    public boolean tryTakePieceRetry(String service) {
+        long nowMs = clock.nowMs();
+        return ready() && pieceRetryBudget(service).tryTakeRetry(instanceCounts.get(nowMs), nowMs);
+    }
+
     /**
      * Takes one retry from a service's budget.
      *
--- a/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stage/StageDispatcher.java
@@ -102,6 +102,7 @@
     public Future<List<String>> submit(StageTicket ticket) {
         Promise<List<String>> results = Promise.promise();
         pendingResults.put(ticket, results);
+        tables.pieceRetryBudget(service).recordFirstAttempt(tables.nowMs());
         queue.add(ticket);
         dispatch();
         return results.future();
@@ -388,7 +389,7 @@
         if (failureCounts.merge(ticket, 1, Integer::sum)
                 > MAX_FAILURES_PER_PIECE * ticket.work().pieces()) {
             fail(ticket, ErrorCode.STAGE_FAILED, "too many failed attempts, last cause: " + reason);
-        } else if (!tables.tryTakeRetry(service)) {
+        } else if (!tables.tryTakePieceRetry(service)) {
             fail(ticket, ErrorCode.RETRY_BUDGET_EXHAUSTED, reason);
         } else {
             ticket.requeue(piece.number());
--- a/kernel/src/main/java/org/pimentovale/kernel/retry/WindowedRetryBudget.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/retry/WindowedRetryBudget.java
@@ -12,7 +12,7 @@
  * whole share. The sum stays within the common limit without coordination messages.
  *
  * <p>Invariant: when a retry is granted, the retries within the window do not exceed the ratio of the first attempts
- * plus the instance's part of the slack. Not thread safe.
+ * plus the instance's part of the slack, nor the maximum. Not thread safe.
  */
 public final class WindowedRetryBudget {
     private static final double RESTARTED_PART = 0.2;
@@ -22,6 +22,7 @@
     private final double slack;
     private final long windowMs;
     private final long startedMs;
+    private final double maximum;
     private final Deque<Long> firstAttempts = new ArrayDeque<>();
     private final Deque<Long> retries = new ArrayDeque<>();
 
@@ -34,10 +35,24 @@
      * @param startedMs when this instance started, in milliseconds
      */
     public WindowedRetryBudget(double ratio, double slack, long windowMs, long startedMs) {
+        this(ratio, slack, windowMs, startedMs, Double.MAX_VALUE);
+    }
+
+    /**
+     * Creates an unused budget that has a maximum.
+     *
+     * @param ratio the number of retries per first attempt
+     * @param slack the number of additional retries per window, over all instances
+     * @param windowMs the length of the sliding window in milliseconds
+     * @param startedMs when this instance started, in milliseconds
+     * @param maximum the number of retries per window that is never exceeded
+     */
+    public WindowedRetryBudget(double ratio, double slack, long windowMs, long startedMs, double maximum) {
         this.ratio = ratio;
         this.slack = slack;
         this.windowMs = windowMs;
         this.startedMs = startedMs;
+        this.maximum = maximum;
     }
 
     /**
@@ -63,7 +78,7 @@
         removeExpired(retries, nowMs);
         double part = nowMs - startedMs < windowMs ? RESTARTED_PART : ESTABLISHED_PART;
         double allowed = ratio * firstAttempts.size() + part * slack / Math.max(1, instances);
-        if (retries.size() + 1 > allowed) {
+        if (retries.size() + 1 > Math.min(allowed, maximum)) {
             return false;
         }
         retries.addLast(nowMs);
--- a/kernel/src/test/java/org/pimentovale/kernel/retry/WindowedRetryBudgetTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/retry/WindowedRetryBudgetTest.java
@@ -40,6 +40,20 @@
         assertThat(takeAll(8, 0)).isEqualTo(15);
     }
 
+    @Test
+    void keepsToItsMaximumWhateverTheRatioAllows() {
+        WindowedRetryBudget limited = new WindowedRetryBudget(0.2, 56, WINDOW_MS, -WINDOW_MS, 28);
+        for (int attempt = 0; attempt < 1_000; attempt++) {
+            limited.recordFirstAttempt(0);
+        }
+        int taken = 0;
+        while (limited.tryTakeRetry(8, 0)) {
+            taken++;
+        }
+
+        assertThat(taken).isEqualTo(28);
+    }
+
     @Test
     void releasesRetriesOlderThanTheWindow() {
         takeAll(8, 0);
--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetEndpointStandIn.java
@@ -44,6 +44,8 @@
     private Optional<EndlessResponse> endlessResponse = Optional.empty();
     private Optional<String> finalBytes = Optional.empty();
     private boolean streamsForPathDuration;
+    private int failedPieceInterval = Integer.MAX_VALUE;
+    private int runPieces;
     private OptionalInt trickleIntervalMs = OptionalInt.empty();
     private final Set<NetSocket> connections = ConcurrentHashMap.newKeySet();
     private final CompletableFuture<Void> firstDisconnect = new CompletableFuture<>();
@@ -164,6 +166,15 @@
         trickleIntervalMs = OptionalInt.of(intervalMs);
     }
 
+    /**
+     * Makes the endpoint report some pieces as failed.
+     *
+     * @param interval the number of pieces of which one fails
+     */
+    public synchronized void failPieces(int interval) {
+        failedPieceInterval = interval;
+    }
+
     /**
      * Returns how much of endless responses has been accepted by the connections so far.
      *
@@ -370,6 +381,11 @@
         JsonArray results = new JsonArray();
         for (Object item : new JsonObject(request.body()).getJsonArray("items")) {
             JsonObject piece = (JsonObject) item;
+            runPieces++;
+            if (runPieces % failedPieceInterval == 0) {
+                results.add(new JsonObject().put("reason", "error"));
+                continue;
+            }
             String handle = socket.localAddress().hostAddress() + ":"
                     + socket.localAddress().port() + "/" + piece.getString("id") + "-" + piece.getInteger("stage") + "-"
                     + piece.getInteger("piece");
