Judge a response as a stream where its content type says so

What callers saw: a stream without length and chunks that ended inside an event was sent whole, with a length, where the route was not one of streams. Cause: only the route's kind decided whether events were looked at, so that a route whose kind had changed or differs from what its endpoints send had no check. Evidence: UnmarkedEndTest$OnARouteThatIsNotOfStreams on the code before: red. Why this works: text/event-stream announces events whatever the route says; a route of streams is judged as before.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
@@ -326,7 +326,7 @@
         } else if (head.status() >= 500 && mayTryAnotherEndpoint()) {
             callFailed(call, ServingException.unknown(ErrorCode.ENDPOINT_FAILED, "status " + head.status()));
         } else {
-            boolean stream = request.isStream() && head.status() < 300;
+            boolean stream = (request.isStream() || ResponseRelay.announcesEvents(response)) && head.status() < 300;
             RelayedCall relayedCall = new RelayedCall(call, head.status(), stream);
             new ResponseRelay(
                             response,
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.HttpVersion;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.pimentovale.gateway.port.EndpointCodec;
@@ -22,6 +23,7 @@
 final class ResponseRelay {
     private static final int MAX_HELD_BYTES = 256 * 1_024;
     private static final int MAX_EVENT_BYTES = 1_024 * 1_024;
+    private static final String EVENT_STREAM = "text/event-stream";
     private static final int EVENTS_OF_CONTINUED_ANSWER = 2;
 
     private final HttpClientResponse response;
@@ -95,6 +97,18 @@
         this.listener = listener;
     }
 
+    /**
+     * Tells whether a response is a stream of events by its own account.
+     *
+     * @param response the endpoint's response
+     * @return whether its content type is that of server-sent events
+     */
+    static boolean announcesEvents(HttpClientResponse response) {
+        String contentType = response.getHeader("Content-Type");
+        return contentType != null
+                && contentType.trim().toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+    }
+
     /** Starts to read the response. */
     void start() {
         response.handler(this::forward);
