Send a caller of HTTP/1.0 whole responses only

What callers saw: to a caller of HTTP/1.0 a stream that had been broken off ended with its connection, as a whole one does. Cause: such a caller gets no chunks, so the end of its connection is the end of the body, and breaking off is closing the connection. Evidence: UnmarkedEndTest$ToACallerThatKnowsNoChunks on the code before: red. Why this works: its responses are held up to the 256 KiB that are held anyway and sent with a length; a longer one, or one that breaks off, becomes a 502. Callers of HTTP/1.1 are served as before.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/CallerResponse.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/CallerResponse.java
@@ -6,6 +6,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.HttpVersion;
 import java.util.Locale;
 import java.util.function.BooleanSupplier;
 import org.pimentovale.error.Outcome;
@@ -54,6 +55,15 @@
         end.onComplete(ended -> written.tryComplete());
     }
 
+    /**
+     * Tells whether the caller understands chunks, without which the end of a connection is the end of the body.
+     *
+     * @return false for a caller of HTTP/1.0
+     */
+    public boolean takesChunks() {
+        return http.version() != HttpVersion.HTTP_1_0;
+    }
+
     /**
      * Starts a chunked response of an endpoint.
      *
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
@@ -16,7 +16,8 @@
  * Relays the response of an endpoint to the caller, with back-pressure.
  *
  * <p>The first part of a body is held back, so that a response which breaks off early can be replaced by a failure or
- * by the response of another endpoint; a stream of events is relayed at once. Invariants: the memory used is bounded,
+ * by the response of another endpoint; a stream of events is relayed at once, except to a caller of HTTP/1.0, whose
+ * response is sent as a whole with a length since it could not tell a break from the end. Invariants: the memory used is bounded,
  * however long the body is; the caller's body is ended only if {@link ResponseEnd} judges the endpoint's as whole. Not
  * thread safe; used on one event loop.
  */
@@ -127,11 +128,18 @@
             return;
         }
         reportContinued();
-        if (target.isEmpty() && events.isEmpty() && held.length() + part.length() <= MAX_HELD_BYTES) {
+        if (holds(part)) {
             held.appendBuffer(part);
-            return;
+        } else if (callerResponse.takesChunks()) {
+            write(part);
+        } else {
+            breakOff("the response exceeds what is held for a caller without chunks: " + MAX_HELD_BYTES + " bytes");
         }
-        write(part);
+    }
+
+    private boolean holds(Buffer part) {
+        boolean mayWait = events.isEmpty() || !callerResponse.takesChunks();
+        return target.isEmpty() && mayWait && held.length() + part.length() <= MAX_HELD_BYTES;
     }
 
     private void reportContinued() {
