A body that ends with its connection is not whole if its endpoint ended too

What callers saw: the beginning of a stream or body without length and chunks, framed as complete, when its endpoint crashed after a whole event. Cause: the operating system closes the connections of a crashed process in order, as the process itself does after a whole response; nothing in the bytes differs. Why this works: a process that has ended refuses connections at once. Before such an end counts, the endpoint is asked for one connection; only a refusal by an endpoint that is listed as ready breaks the response off. One that is known to leave is not asked, and a time-out decides nothing. The cost is one connection for each body without length and chunks, none for all others.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.PoolOptions;
+import io.vertx.core.net.NetClientOptions;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -22,6 +23,7 @@
 import org.pimentovale.gateway.caller.CallerListener;
 import org.pimentovale.gateway.caller.GatewayState;
 import org.pimentovale.gateway.caller.RequestServices;
+import org.pimentovale.gateway.endpoint.ConnectionProbe;
 import org.pimentovale.gateway.endpoint.EndpointClient;
 import org.pimentovale.gateway.endpoint.EndpointResponseObserver;
 import org.pimentovale.gateway.feed.ConfirmedStateClient;
@@ -170,9 +172,12 @@
         RouteHistory routes = new RouteHistory();
         this.history = new CheckpointedHistory(tables, store, platform.objectReader(), synchronizer, builds, routes);
         this.origins = new StreamOrigins(tables, peerCalls, builds, routes, history::confirm);
+        ConnectionProbe probe = new ConnectionProbe(
+                vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS)));
         RequestServices services = new RequestServices(
                 vertx,
                 endpointClient,
+                probe,
                 observer,
                 platform.endpointCodec(),
                 stageClient,
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/EndpointSender.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/EndpointSender.java
@@ -1,8 +1,10 @@
 package org.pimentovale.gateway.caller;
 
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpClientResponse;
 import java.util.List;
 import java.util.Optional;
+import org.pimentovale.gateway.GatewayTables;
 import org.pimentovale.gateway.endpoint.EndpointClient;
 import org.pimentovale.gateway.port.DispatchContext;
 import org.pimentovale.gateway.port.ResponseHead;
@@ -18,10 +20,12 @@
  */
 final class EndpointSender {
     private final CallerRequest request;
+    private final GatewayTables tables;
     private final RequestServices services;
 
-    EndpointSender(CallerRequest request, RequestServices services) {
+    EndpointSender(CallerRequest request, GatewayTables tables, RequestServices services) {
         this.request = request;
+        this.tables = tables;
         this.services = services;
     }
 
@@ -47,6 +51,16 @@
         services.observer().observe(target, head, answered);
     }
 
+    /** Tells whether an endpoint has ended that is listed as ready and has not said that it leaves. */
+    Future<Boolean> endedUnannounced(EndpointCall call) {
+        EndpointRecord target = call.endpoint().latest();
+        boolean expected = tables.endpoints()
+                .find(target.identifier())
+                .filter(tables.endpoints()::isUsable)
+                .isEmpty();
+        return expected ? Future.succeededFuture(false) : services.probe().refuses(target.address());
+    }
+
     /** Decodes the head of a response. */
     ResponseHead readHead(HttpClientResponse response) {
         return services.endpointCodec().readResponseHead(response.statusCode(), response.headers());
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
@@ -76,7 +76,7 @@
         this.services = services;
         this.onEnd = onEnd;
         this.candidates = new EndpointCandidates(request, tables);
-        this.sender = new EndpointSender(request, services);
+        this.sender = new EndpointSender(request, tables, services);
         this.log = new RequestLog(request, tables);
         this.recorder = new ResponseRecorder(request, tables, services, log);
         this.history = new SendHistory(request.routed().route());
@@ -334,6 +334,7 @@
                             services.endpointCodec(),
                             stream,
                             call.pendingRequest()::written,
+                            () -> sender.endedUnannounced(call),
                             relayedCall)
                     .start();
         }
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestServices.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestServices.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import java.util.function.UnaryOperator;
+import org.pimentovale.gateway.endpoint.ConnectionProbe;
 import org.pimentovale.gateway.endpoint.EndpointClient;
 import org.pimentovale.gateway.endpoint.EndpointResponseObserver;
 import org.pimentovale.gateway.limit.RequestPermits;
@@ -17,6 +18,7 @@
  *
  * @param vertx runs timers on the event loop
  * @param endpoints sends requests to endpoints
+ * @param probe tells whether endpoints still run
  * @param observer records what endpoints say about themselves in their responses
  * @param endpointCodec encodes and decodes the endpoints' headers
  * @param stages runs stages through their owners
@@ -30,6 +32,7 @@
 public record RequestServices(
         Vertx vertx,
         EndpointClient endpoints,
+        ConnectionProbe probe,
         EndpointResponseObserver observer,
         EndpointCodec endpointCodec,
         StageClient stages,
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
@@ -1,5 +1,6 @@
 package org.pimentovale.gateway.caller;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerResponse;
@@ -7,6 +8,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.pimentovale.gateway.port.EndpointCodec;
 import org.pimentovale.kernel.response.BodyFraming;
 import org.pimentovale.kernel.response.ResponseEnd;
@@ -34,6 +36,7 @@
     private final Optional<EventStreamParser> events;
     private final BodyFraming framing;
     private final BooleanSupplier requestWritten;
+    private final Supplier<Future<Boolean>> endpointEnded;
     private final Buffer held = Buffer.buffer();
     private Optional<HttpServerResponse> target = Optional.empty();
     private boolean continued;
@@ -80,6 +83,7 @@
      * @param codec selects the headers that are relayed
      * @param stream whether the response is a stream of events
      * @param requestWritten tells whether the request has been written to the endpoint as a whole
+     * @param endpointEnded asks whether the endpoint has ended unexpectedly; never fails
      * @param listener receives the progress
      */
     ResponseRelay(
@@ -88,6 +92,7 @@
             EndpointCodec codec,
             boolean stream,
             BooleanSupplier requestWritten,
+            Supplier<Future<Boolean>> endpointEnded,
             Listener listener) {
         this.response = response;
         this.callerResponse = callerResponse;
@@ -95,6 +100,7 @@
         this.events = stream ? Optional.of(new EventStreamParser()) : Optional.empty();
         this.framing = framingOf(response);
         this.requestWritten = requestWritten;
+        this.endpointEnded = endpointEnded;
         this.listener = listener;
     }
 
@@ -172,6 +178,17 @@
             return;
         }
         ResponseEnd end = ResponseEnd.judge(framing, requestWritten.getAsBoolean(), events);
+        if (end.needsConfirmation(framing)) {
+            endpointEnded.get().onSuccess(ended -> conclude(end.confirm(ended)));
+        } else {
+            conclude(end);
+        }
+    }
+
+    private void conclude(ResponseEnd end) {
+        if (!listener.active()) {
+            return;
+        }
         listener.ended(framing, end);
         if (end == ResponseEnd.WHOLE) {
             complete();
--- a/kernel/src/main/java/org/pimentovale/kernel/response/ResponseEnd.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/response/ResponseEnd.java
@@ -22,7 +22,9 @@
     /** The connection ended before the first event. */
     NO_EVENT("the connection ended without an event"),
     /** The connection ended while the request was still being written. */
-    REQUEST_UNWRITTEN("the connection ended while the request was being written");
+    REQUEST_UNWRITTEN("the connection ended while the request was being written"),
+    /** The connection ended, and the endpoint takes no connections any more although nothing announced its end. */
+    ENDPOINT_ENDED("the connection ended with its endpoint");
 
     private final String description;
 
@@ -54,6 +56,27 @@
         return events.filter(parser -> parser.completeEvents() == 0).isPresent() ? NO_EVENT : WHOLE;
     }
 
+    /**
+     * Tells whether a response counts as whole only if its endpoint still runs.
+     *
+     * @param framing how the end of the body is marked
+     * @return whether {@link #confirm} has to be asked
+     */
+    public boolean needsConfirmation(BodyFraming framing) {
+        return this == WHOLE && !framing.marksEnd();
+    }
+
+    /**
+     * Judges again, once it is known whether the endpoint still runs. The operating system closes the connections of a
+     * process that crashes in order, as the process does after a whole response.
+     *
+     * @param endpointEnded whether the endpoint has ended without notice
+     * @return this, or {@link #ENDPOINT_ENDED}
+     */
+    public ResponseEnd confirm(boolean endpointEnded) {
+        return this == WHOLE && endpointEnded ? ENDPOINT_ENDED : this;
+    }
+
     /**
      * Returns a text for logs and error messages.
      *
--- a/kernel/src/test/java/org/pimentovale/kernel/response/ResponseEndTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/response/ResponseEndTest.java
@@ -46,6 +46,25 @@
         }
     }
 
+    @Nested
+    class AConfirmation {
+        @Test
+        void isNeededWhereOnlyTheConnectionMarksTheEnd() {
+            assertThat(ResponseEnd.WHOLE.needsConfirmation(BodyFraming.CONNECTION))
+                    .isTrue();
+            assertThat(ResponseEnd.WHOLE.needsConfirmation(BodyFraming.CHUNKS)).isFalse();
+            assertThat(ResponseEnd.NO_EVENT.needsConfirmation(BodyFraming.CONNECTION))
+                    .isFalse();
+        }
+
+        @Test
+        void failsIfTheEndpointHasEnded() {
+            assertThat(ResponseEnd.WHOLE.confirm(true)).isEqualTo(ResponseEnd.ENDPOINT_ENDED);
+            assertThat(ResponseEnd.WHOLE.confirm(false)).isEqualTo(ResponseEnd.WHOLE);
+            assertThat(ResponseEnd.NO_EVENT.confirm(true)).isEqualTo(ResponseEnd.NO_EVENT);
+        }
+    }
+
     @Nested
     class AnEndOfTheConnection {
         @Test
--- a/standin/src/main/java/org/pimentovale/standin/fleet/SocketEndpoint.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/SocketEndpoint.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -196,6 +197,29 @@
         return listener.getLocalPort();
     }
 
+    /** Takes no connections any more, from the return of this method; those that are open end with their scripts. */
+    public void closeListener() {
+        int closedPort = port();
+        try {
+            listener.close();
+            // The thread that waits for connections keeps the listener open until it has noticed.
+            while (accepts(closedPort)) {
+                Thread.onSpinWait();
+            }
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    private static boolean accepts(int port) throws IOException {
+        try (Socket attempt = new Socket()) {
+            attempt.connect(new InetSocketAddress("127.0.0.1", port));
+            return true;
+        } catch (ConnectException refused) {
+            return false;
+        }
+    }
+
     @Override
     public void close() {
         try {
