Accept stored objects and messages only with a marked end

What could be seen: a stored table or message whose connection ended early and that has neither length nor chunks was taken for whole; the beginning of a TOML table can be a table of its own. Cause: the client of the entry daemon's store and of messages between processes took every end of the body for its end. Why this works: both sides are ours or a store that sends a length. Calls for pieces and the platform's store may answer without one; their bodies are JSON objects, of which no part can be read. BodyFraming moved to model, which both kernel and store use.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/RequestExecution.java
@@ -15,12 +15,12 @@
 import org.pimentovale.kernel.directory.EndpointRecord;
 import org.pimentovale.kernel.directory.EndpointState;
 import org.pimentovale.kernel.directory.EndpointWait;
-import org.pimentovale.kernel.response.BodyFraming;
 import org.pimentovale.kernel.response.ResponseEnd;
 import org.pimentovale.kernel.serving.RequestKind;
 import org.pimentovale.kernel.serving.ServingRoute;
 import org.pimentovale.kernel.serving.ServingService;
 import org.pimentovale.kernel.stream.StreamOrigin;
+import org.pimentovale.response.BodyFraming;
 
 /**
  * Executes one request of a caller: runs its stages, sends it to an endpoint and relays the response.
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRecorder.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRecorder.java
@@ -1,8 +1,8 @@
 package org.pimentovale.gateway.caller;
 
 import org.pimentovale.gateway.GatewayTables;
-import org.pimentovale.kernel.response.BodyFraming;
 import org.pimentovale.kernel.response.ResponseEnd;
+import org.pimentovale.response.BodyFraming;
 
 /**
  * Records the progress of one request's responses in logs, metrics and the estimates of the tables. Not thread safe;
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
@@ -10,9 +10,9 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.pimentovale.gateway.port.EndpointCodec;
-import org.pimentovale.kernel.response.BodyFraming;
 import org.pimentovale.kernel.response.ResponseEnd;
 import org.pimentovale.kernel.stream.EventStreamParser;
+import org.pimentovale.response.BodyFraming;
 
 /**
  * Relays the response of an endpoint to the caller, with back-pressure.
--- a/kernel/src/main/java/org/pimentovale/kernel/response/ResponseEnd.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/response/ResponseEnd.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.pimentovale.kernel.stream.EventStreamParser;
+import org.pimentovale.response.BodyFraming;
 
 /**
  * Decides whether a response whose body has ended without a reported failure is whole.
--- a/kernel/src/test/java/org/pimentovale/kernel/response/ResponseEndTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/response/ResponseEndTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pimentovale.kernel.stream.EventStreamParser;
+import org.pimentovale.response.BodyFraming;
 
 /** Verifies which responses count as whole. */
 class ResponseEndTest {
--- a/kernel/src/test/java/org/pimentovale/kernel/response/BodyFramingTest.java
+++ b/model/src/test/java/org/pimentovale/response/BodyFramingTest.java
@@ -1,4 +1,4 @@
-package org.pimentovale.kernel.response;
+package org.pimentovale.response;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/store/src/main/java/org/pimentovale/store/http/BodyLimit.java
+++ b/store/src/main/java/org/pimentovale/store/http/BodyLimit.java
@@ -4,8 +4,8 @@
 
 /** How much of a response body a client holds in memory. Immutable and thread safe. */
 public enum BodyLimit {
-    /** For responses that contain many objects. */
-    MESSAGES(8 * 1_024 * 1_024, 0) {
+    /** For messages between processes of the system and objects of its own store, which are sent with a marked end. */
+    MESSAGES(8 * 1_024 * 1_024, 0, true) {
         @Override
         Optional<LongStringFilter> newFilter() {
             return Optional.empty();
@@ -15,7 +15,7 @@
      * For calls for pieces, whose results take less than a hundred bytes each. Faulty endpoints may send bodies without
      * end in all calls at the same time.
      */
-    SHORT_RESPONSES(256 * 1_024, 0) {
+    SHORT_RESPONSES(256 * 1_024, 0, false) {
         @Override
         Optional<LongStringFilter> newFilter() {
             return Optional.empty();
@@ -26,7 +26,7 @@
      * that large objects of others leave room for the rest of the response. What accumulated during an outage may take
      * longer to receive than a call without it.
      */
-    STORED_OBJECTS(8 * 1_024 * 1_024, 4_000) {
+    STORED_OBJECTS(8 * 1_024 * 1_024, 4_000, false) {
         @Override
         Optional<LongStringFilter> newFilter() {
             return Optional.of(new LongStringFilter(MAX_STRING_BYTES));
@@ -38,10 +38,12 @@
 
     private final int maxBytes;
     private final int extraTimeMs;
+    private final boolean needsMarkedEnd;
 
-    BodyLimit(int maxBytes, int extraTimeMs) {
+    BodyLimit(int maxBytes, int extraTimeMs, boolean needsMarkedEnd) {
         this.maxBytes = maxBytes;
         this.extraTimeMs = extraTimeMs;
+        this.needsMarkedEnd = needsMarkedEnd;
     }
 
     /** Creates the filter for a body that exceeds {@link #unfilteredBytes}, empty if such a body is held unchanged. */
@@ -61,6 +63,14 @@
         return extraTimeMs;
     }
 
+    /**
+     * Tells whether a body has to mark its end, since the beginning of a body may have a meaning of its own. Others are
+     * JSON objects, of which a part cannot be read.
+     */
+    boolean needsMarkedEnd() {
+        return needsMarkedEnd;
+    }
+
     /** Returns the length that may be held of a body, in bytes. */
     int maxBytes() {
         return maxBytes;
--- a/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
+++ b/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
@@ -7,12 +7,14 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpVersion;
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
+import org.pimentovale.response.BodyFraming;
 
 /**
  * Sends HTTP calls that end within their timeout, or within the extra time of their kind of response if that has begun
@@ -31,6 +33,8 @@
     /** Header that identifies a call on its connection. */
     public static final String CALL_ID = "Call-Id";
 
+    private static final int STATUS_NO_CONTENT = 204;
+
     private final Vertx vertx;
     private final HttpClient client;
     private final ErrorCode failureCode;
@@ -167,6 +171,10 @@
     }
 
     private Future<HttpResponse> readBody(HttpClientResponse response) {
+        if (bodyLimit.needsMarkedEnd() && !marksEnd(response)) {
+            return Future.failedFuture(
+                    ServingException.unknown(failureCode, "nothing but the connection marks the end of the body"));
+        }
         Promise<HttpResponse> complete = Promise.promise();
         BoundedBody body = bodyLimit.newBody();
         response.handler(part -> {
@@ -181,6 +189,15 @@
         return complete.future();
     }
 
+    private static boolean marksEnd(HttpClientResponse response) {
+        return response.statusCode() == STATUS_NO_CONTENT
+                || BodyFraming.of(
+                                response.version() == HttpVersion.HTTP_1_1,
+                                Optional.ofNullable(response.getHeader("Transfer-Encoding")),
+                                Optional.ofNullable(response.getHeader("Content-Length")))
+                        .marksEnd();
+    }
+
     private ServingException toServingException(Throwable cause) {
         return cause instanceof ServingException failure
                 ? failure
