Let only stages that move much wait for a zone

Cause: each stage preferred the zone of its inputs or of the request, whatever its size. Change: StageTiming decides by the bytes that would cross zones, the inputs of each piece or the stage's own results.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/StagePhase.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/StagePhase.java
@@ -128,6 +128,9 @@
 
     /** Prefers the zone that holds most of a stage's inputs, or the request's zone for a stage without inputs. */
     private Optional<String> preferredZoneOf(RouteStage stage) {
+        if (!timing.worthWaitingForZone(stage)) {
+            return Optional.empty();
+        }
         List<String> inputHandles = graph.inputs(stage);
         return inputHandles.isEmpty()
                 ? preferredZone
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageGraph.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageGraph.java
@@ -79,6 +79,27 @@
         return collectResults(stage.after());
     }
 
+    /**
+     * Returns how many bytes cross zones if a stage runs in another zone than its inputs, or, for a stage without
+     * inputs, in another zone than the request.
+     *
+     * @param stage a stage of the request's route
+     * @return the approximate size of the inputs of all its pieces, or of its own results if it has no inputs
+     */
+    public long localBytes(RouteStage stage) {
+        if (stage.after().isEmpty()) {
+            return resultBytes(stage);
+        }
+        long inputBytes = stage.after().stream()
+                .mapToLong(number -> resultBytes(stages.get(number)))
+                .sum();
+        return pieceCount(stage) * inputBytes;
+    }
+
+    private long resultBytes(RouteStage stage) {
+        return pieceCount(stage) * stage.resultBytes();
+    }
+
     /**
      * Records the results of a stage and marks it as finished.
      *
--- a/kernel/src/main/java/org/pimentovale/kernel/batch/StageTiming.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/batch/StageTiming.java
@@ -15,6 +15,8 @@
 public final class StageTiming {
     private static final double QUEUEING_FACTOR = 1.4;
     private static final double START_MARGIN_MS = 150;
+    // Less than this crosses zones sooner than an endpoint of another zone becomes free.
+    private static final long MIN_BYTES_WORTH_A_WAIT = 1_000_000;
 
     private final ServingRoute route;
     private final StageGraph graph;
@@ -65,6 +67,18 @@
         return Math.max(0, longest - estimatedMs(stage) - downstreamMs(stage) - START_MARGIN_MS);
     }
 
+    /**
+     * Tells whether a stage may wait for an endpoint in the zone of its inputs. Waiting costs every request time and
+     * leaves endpoints of other zones idle, also when they are nearly busy, so it is limited to inputs whose transfer
+     * costs more.
+     *
+     * @param stage a stage that may start
+     * @return whether the bytes that would cross zones are worth a wait
+     */
+    public boolean worthWaitingForZone(RouteStage stage) {
+        return graph.localBytes(stage) >= MIN_BYTES_WORTH_A_WAIT;
+    }
+
     /**
      * Returns the estimated time of the stages that have not started, including their queueing. Stages that are running
      * count as if they ended now.
--- a/kernel/src/test/java/org/pimentovale/kernel/batch/StageTimingTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/batch/StageTimingTest.java
@@ -37,6 +37,32 @@
         return new StageTiming(route, graph, service -> FULL_CALL_MS);
     }
 
+    @Nested
+    class AWaitForAZone {
+        private final ServingRoute route = route(PICTURES, QUERY, RETRIEVE, RERANK);
+
+        private boolean worthWaiting(RouteStage stage, List<Integer> pieces) {
+            return timing(route, new StageGraph(route, pieces)).worthWaitingForZone(stage);
+        }
+
+        @Test
+        void isWorthItForLargeResults() {
+            assertThat(worthWaiting(PICTURES, List.of(2, 1, 6, 16))).isTrue();
+        }
+
+        @Test
+        void isNotWorthItForSmallResultsOrInputs() {
+            assertThat(worthWaiting(QUERY, List.of(2, 1, 6, 16))).isFalse();
+            assertThat(worthWaiting(RETRIEVE, List.of(2, 1, 6, 16))).isFalse();
+            assertThat(worthWaiting(RERANK, List.of(2, 1, 6, 1))).isFalse();
+        }
+
+        @Test
+        void isWorthItIfEachOfManyPiecesGetsTheInputs() {
+            assertThat(worthWaiting(RERANK, List.of(2, 1, 6, 16))).isTrue();
+        }
+    }
+
     @Nested
     class LongAndShortBranch {
         private final ServingRoute route = route(PICTURES, QUERY, RETRIEVE, RERANK);
