Choose owners of stage queues among gateways with fast links

Cause: one gateway, the owner, sends the pieces of all. A full call there is 81 pieces with the identifiers of eight inputs each, about 25 KB; 40 of them a second fill the link of 10 Mbit/s that 68 of 74 machines have. Change: gateways register the bandwidth of their link, and only those with at least half of the fastest one own queues (OwnerEligibility); where links are alike or unknown nothing changes.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -129,7 +129,7 @@
         this.vertx = vertx;
         this.settings = settings;
         this.platform = platform;
-        this.self = new InstanceRecord(settings.name(), settings.peerAddress(), settings.zone());
+        this.self = new InstanceRecord(settings.name(), settings.peerAddress(), settings.zone(), settings.linkMbps());
         this.tables = new GatewayTables(clock, new PeerTable(self), settings.retry());
         PlatformStore store = platform.openStore(
                 new TimedHttpClient(vertx, newStoreClient(), ErrorCode.STORE_UNAVAILABLE, BodyLimit.STORED_OBJECTS),
@@ -298,7 +298,7 @@
                         observeTables();
                         history.storePeriodically();
                     });
-                    registration.register(new InstanceRecord(self.name(), peerAddress, self.zone()));
+                    registration.register(new InstanceRecord(self.name(), peerAddress, self.zone(), self.linkMbps()));
                     Events.info(
                             LOG,
                             "gateway_started",
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerTable.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerTable.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.pimentovale.gateway.port.InstanceRecord;
+import org.pimentovale.kernel.membership.OwnerEligibility;
 import org.pimentovale.kernel.membership.RendezvousHash;
 
 /**
@@ -164,6 +166,15 @@
                 .toList();
     }
 
+    /** Returns the greatest bandwidth among the gateways that may be owners now. */
+    private double fastestLinkMbps() {
+        return Stream.concat(peers.values().stream().filter(peer -> isResponsive(peer.name())), Stream.of(self))
+                .filter(gateway -> !draining || gateway != self)
+                .mapToDouble(InstanceRecord::linkMbps)
+                .max()
+                .orElse(0);
+    }
+
     /**
      * Returns the gateway that owns a key, such as a service or a fingerprint.
      *
@@ -171,10 +182,12 @@
      * @return the owner, empty if it is this gateway
      */
     public Optional<InstanceRecord> owner(String key) {
+        double fastestMbps = fastestLinkMbps();
         Optional<InstanceRecord> candidate = peers.values().stream()
                 .filter(peer -> isResponsive(peer.name()))
+                .filter(peer -> OwnerEligibility.isEligible(peer.linkMbps(), fastestMbps))
                 .max(Comparator.comparingLong(peer -> RendezvousHash.weight(key, peer.name())));
-        if (draining) {
+        if (draining || !OwnerEligibility.isEligible(self.linkMbps(), fastestMbps)) {
             return candidate;
         }
         long ownWeight = RendezvousHash.weight(key, self.name());
--- a/gateway/src/main/java/org/pimentovale/gateway/settings/GatewaySettings.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/settings/GatewaySettings.java
@@ -10,6 +10,7 @@
  * @param callerAddress host and port of the listener for callers
  * @param readinessAddress host and port of the listener for the load balancer's readiness check and the metrics
  * @param peerAddress host and port of the listener for other gateways
+ * @param linkMbps the bandwidth of the machine's network link in megabits per second, zero if unknown
  * @param shutdownTimeoutMs the maximum time from the termination signal to the exit, in milliseconds
  * @param retry the retry budget of each service
  * @param logLevel the minimum level of log lines
@@ -22,6 +23,7 @@
         String callerAddress,
         String readinessAddress,
         String peerAddress,
+        double linkMbps,
         int shutdownTimeoutMs,
         RetryBudgetSettings retry,
         String logLevel) {
--- a/gateway/src/main/java/org/pimentovale/gateway/settings/GatewaySettingsReader.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/settings/GatewaySettingsReader.java
@@ -18,6 +18,7 @@
     private static final double DEFAULT_RETRY_WINDOW_SECONDS = 10;
     private static final double MAX_RETRY_SLACK = 1e6;
     private static final long MS_PER_SECOND = 1_000;
+    private static final double MAX_LINK_MBPS = 10_000_000;
 
     /**
      * Parses and validates settings.
@@ -48,6 +49,7 @@
                     address(root, "callers"),
                     address(root, "readiness"),
                     address(root, "peers"),
+                    root.decimal("link_mbps", 0, 0, MAX_LINK_MBPS),
                     (int) (MS_PER_SECOND
                             * root.decimal("shutdown_s", DEFAULT_SHUTDOWN_SECONDS, 1, MAX_DURATION_SECONDS)),
                     retryBudgetSettings(root.section("retry")),
--- a/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmup.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmup.java
@@ -129,6 +129,7 @@
                 EPHEMERAL_ADDRESS,
                 EPHEMERAL_ADDRESS,
                 EPHEMERAL_ADDRESS,
+                0,
                 REQUEST_TIMEOUT_MS,
                 new RetryBudgetSettings(1, JitWarmupProgress.MAX_REQUESTS, REQUEST_TIMEOUT_MS),
                 "INFO");
--- a/gateway/src/test/java/org/pimentovale/gateway/peer/PeerTableTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/peer/PeerTableTest.java
@@ -27,6 +27,52 @@
                 .orElse(table.self().name());
     }
 
+    /** Guards against an owner whose link is too slow for the calls of all gateways. */
+    @Nested
+    class OwnersOnLinksThatDiffer {
+        private static final List<InstanceRecord> LINKED =
+                List.of(linked("a", 10), linked("b", 10), linked("c", 200), linked("d", 150));
+
+        private static InstanceRecord linked(String name, double linkMbps) {
+            return new InstanceRecord(name, "10.0.0.1:80", "north", linkMbps);
+        }
+
+        private static PeerTable linkedTable(int self) {
+            PeerTable table = new PeerTable(LINKED.get(self));
+            table.replaceAll(LINKED);
+            return table;
+        }
+
+        @Test
+        void haveOneOfTheFastOnes() {
+            for (int service = 0; service < 50; service++) {
+                String first = owner(linkedTable(0), "service-" + service);
+
+                assertThat(first).isAnyOf("c", "d");
+                for (int self = 1; self < LINKED.size(); self++) {
+                    assertThat(owner(linkedTable(self), "service-" + service)).isEqualTo(first);
+                }
+            }
+        }
+
+        @Test
+        void areTheOthersWhileNoFastOneResponds() {
+            PeerTable table = linkedTable(0);
+            table.markUnresponsive("c", 0);
+            table.markUnresponsive("d", 0);
+
+            assertThat(owner(table, "service")).isAnyOf("a", "b");
+        }
+
+        @Test
+        void leaveADrainingOneForAnotherFastOne() {
+            PeerTable table = linkedTable(2);
+            table.startDraining();
+
+            assertThat(owner(table, "service")).isEqualTo("d");
+        }
+    }
+
     @Nested
     class Owners {
         @Test
