Read the link's bandwidth from the environment

An invalid value ends the start with a message. Evidence: GatewaySettingsReaderTest$TheBandwidthOfTheLink.

--- a/gateway/src/main/java/org/pimentovale/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/GatewayDaemon.java
@@ -61,7 +61,7 @@
     }
 
     private void run() {
-        GatewaySettings settings = new GatewaySettingsReader().read(settingsFile, readSettings());
+        GatewaySettings settings = new GatewaySettingsReader().read(settingsFile, readSettings(), System.getenv());
         if (checkOnly) {
             System.out.println("settings are valid");
             return;
--- a/gateway/src/main/java/org/pimentovale/gateway/settings/GatewaySettings.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/settings/GatewaySettings.java
@@ -27,6 +27,27 @@
         int shutdownTimeoutMs,
         RetryBudgetSettings retry,
         String logLevel) {
+    /**
+     * Returns these settings with another bandwidth of the link.
+     *
+     * @param megabitsPerSecond the bandwidth
+     * @return the changed settings
+     */
+    public GatewaySettings withLinkMbps(double megabitsPerSecond) {
+        return new GatewaySettings(
+                name,
+                zone,
+                platform,
+                storeAddress,
+                callerAddress,
+                readinessAddress,
+                peerAddress,
+                megabitsPerSecond,
+                shutdownTimeoutMs,
+                retry,
+                logLevel);
+    }
+
     /**
      * The retry budget of a service. All gateways share it; each may use an equal part of the slack.
      *
--- a/gateway/src/main/java/org/pimentovale/gateway/settings/GatewaySettingsReader.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/settings/GatewaySettingsReader.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.Collectors;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
@@ -17,6 +18,7 @@
     private static final double DEFAULT_RETRY_SLACK = 10;
     private static final double DEFAULT_RETRY_WINDOW_SECONDS = 10;
     private static final double MAX_RETRY_SLACK = 1e6;
+    private static final String LINK_VARIABLE = "GATEWAY_LINK_MBPS";
     private static final long MS_PER_SECOND = 1_000;
     private static final double MAX_LINK_MBPS = 10_000_000;
 
@@ -39,6 +41,36 @@
         return settings;
     }
 
+    /**
+     * Parses and validates settings, of which the environment sets the bandwidth of the link if it names one.
+     *
+     * @param file the file name to show in error messages
+     * @param text the TOML text
+     * @param environment the variables of the process
+     * @return the settings
+     * @throws ServingException with {@link ErrorCode#SETTINGS_INVALID} and a message that lists every problem
+     */
+    public GatewaySettings read(String file, String text, Map<String, String> environment) {
+        GatewaySettings settings = read(file, text);
+        String linkMbps = environment.getOrDefault(LINK_VARIABLE, "");
+        return linkMbps.isEmpty() ? settings : settings.withLinkMbps(parseLink(linkMbps));
+    }
+
+    private static double parseLink(String value) {
+        try {
+            double linkMbps = Double.parseDouble(value);
+            if (linkMbps >= 0 && linkMbps <= MAX_LINK_MBPS) {
+                return linkMbps;
+            }
+        } catch (NumberFormatException malformed) {
+            // Reported below, as a number out of range is.
+        }
+        throw ServingException.notRun(
+                ErrorCode.SETTINGS_INVALID,
+                LINK_VARIABLE + " = \"" + value + "\": expected a number of megabits per second, 0 to "
+                        + (long) MAX_LINK_MBPS);
+    }
+
     private GatewaySettings read(TomlSection root) {
         try (root) {
             return new GatewaySettings(
--- a/gateway/src/test/java/org/pimentovale/gateway/settings/GatewaySettingsReaderTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/settings/GatewaySettingsReaderTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pimentovale.error.ErrorCode;
@@ -42,6 +44,34 @@
         }
     }
 
+    @Nested
+    class TheBandwidthOfTheLink {
+        private static GatewaySettings read(String variable) {
+            return new GatewaySettingsReader()
+                    .read("gateway.toml", VALID_SETTINGS, Map.of("GATEWAY_LINK_MBPS", variable));
+        }
+
+        @Test
+        void isReadFromTheEnvironment() {
+            assertThat(read("10.0").linkMbps()).isEqualTo(10.0);
+        }
+
+        @Test
+        void isUnknownWithoutAValue() {
+            assertThat(read("").linkMbps()).isEqualTo(0.0);
+        }
+
+        @Test
+        void mustBeANumber() {
+            for (String variable : List.of("fast", "-1", "NaN")) {
+                ServingException failure = assertThrows(ServingException.class, () -> read(variable));
+
+                assertThat(failure.code()).isEqualTo(ErrorCode.SETTINGS_INVALID);
+                assertThat(failure).hasMessageThat().contains("GATEWAY_LINK_MBPS");
+            }
+        }
+    }
+
     @Nested
     class InvalidSettings {
         @Test
