--- a/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/ResponseRelay.java
@@ -18,10 +18,10 @@
  * Relays the response of an endpoint to the caller, with back-pressure.
  *
  * <p>The first part of a body is held back, so that a response which breaks off early can be replaced by a failure or
- * by the response of another endpoint; a stream of events is relayed at once, except to a caller of HTTP/1.0, whose
- * response is sent as a whole with a length since it could not tell a break from the end. Invariants: the memory used is bounded,
- * however long the body is; the caller's body is ended only if {@link ResponseEnd} judges the endpoint's as whole. Not
- * thread safe; used on one event loop.
+ * by the response of another endpoint; a stream of events is relayed at once. A caller of HTTP/1.0 gets its response as
+ * a whole with a length, since it could not tell a break from the end. Invariants: the memory used is bounded, however
+ * long the body is; the caller's body is ended only if {@link ResponseEnd} judges the endpoint's as whole. Not thread
+ * safe; used on one event loop.
  */
 final class ResponseRelay {
     private static final int MAX_HELD_BYTES = 256 * 1_024;
--- a/gateway/src/main/java/org/pimentovale/gateway/endpoint/ConnectionProbe.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/endpoint/ConnectionProbe.java
@@ -25,8 +25,8 @@
      * Opens a connection and closes it again.
      *
      * @param address host and port, as {@code host:port}
-     * @return whether the connection was refused, as by a process that has ended; false if it was accepted or if nothing
-     *     is known, for instance after a time-out. Never fails.
+     * @return whether the connection was refused, as by a process that has ended; false if it was accepted or nothing
+     *     is known, for instance after a time-out; never fails
      */
     public Future<Boolean> refuses(String address) {
         int colon = address.lastIndexOf(':');
--- a/gateway/src/main/java/org/pimentovale/gateway/metric/GatewayMetrics.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/metric/GatewayMetrics.java
@@ -49,8 +49,7 @@
             .register(registry);
     private final Counter responseEnds = Counter.builder()
             .name("pimentovale_gateway_response_ends")
-            .help(
-                    "Ends of responses that only the connection marked or that were judged as broken, by service and end.")
+            .help("Ends of responses that only the connection marked or that broke off, by service and end.")
             .labelNames("service", "end")
             .register(registry);
     private final Counter endpointNotices = Counter.builder()
