--- a/review/rig2/Deployment.java
+++ b/review/rig2/Deployment.java
@@ -65,10 +65,15 @@
     }
 
     void gateway(String name) throws Exception {
+        gateway(name, storePort);
+    }
+
+    /** Starts a gateway that reaches the store at another port, for instance a proxy's. */
+    void gateway(String name, int storeAddressPort) throws Exception {
         int front = Rig.freePort();
         int ready = Rig.freePort();
         int peers = Rig.freePort();
-        gateways.add(rig.gateway(Rig.settings(name, storePort, front, ready, peers)));
+        gateways.add(rig.gateway(Rig.settings(name, storeAddressPort, front, ready, peers)));
         fronts.add(front);
         Rig.awaitReady(ready, "/readiness", 30_000);
     }
