--- a/review/rig2/Deployment.java
+++ b/review/rig2/Deployment.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Timer;
 import java.util.TimerTask;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** A store, one or more gateways and engines, started as separate processes. */
 final class Deployment {
@@ -14,6 +15,7 @@
     final List<Process> gateways = new ArrayList<>();
     final Map<String, Process> engines = new HashMap<>();
     private final Map<String, String> entries = new HashMap<>();
+    private final Map<String, String> states = new ConcurrentHashMap<>();
     private long sequence;
 
     Deployment(Rig rig) throws Exception {
@@ -50,7 +52,7 @@
                 for (Map.Entry<String, Process> engine : engines.entrySet()) {
                     try {
                         if (engine.getValue().isAlive()) {
-                            beat("PUT", engine.getKey(), "ready");
+                            beat("PUT", engine.getKey(), states.getOrDefault(engine.getKey(), "ready"));
                         }
                     } catch (IOException lost) {
                         // The next heartbeat follows.
@@ -60,6 +62,12 @@
         }, 1_200, 1_200);
     }
 
+    /** Lets an engine report a state, now and with its later heartbeats. */
+    void report(String id, String state) throws IOException {
+        states.put(id, state);
+        beat("PUT", id, state);
+    }
+
     void configure(String spec) throws IOException {
         Rig.store(storePort, "POST", "/objects/config", "{\"metadata\":{\"name\":\"main\"},\"spec\":" + spec + "}");
     }
--- a/review/rig2/Rig.java
+++ b/review/rig2/Rig.java
@@ -51,7 +51,7 @@
     /** Starts a stand-in, whose class is a main program beside this one. */
     Process standIn(String mainClass, String... arguments) throws IOException {
         List<String> command = new ArrayList<>(List.of(
-                "java", "-Xmx256m", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), mainClass));
+                "java", "-Xmx512m", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), mainClass));
         command.addAll(List.of(arguments));
         return start(new ProcessBuilder(command), mainClass + "-" + String.join("-", arguments).replaceAll("[^a-z0-9-]", ""));
     }
--- a/review/rig2/Store.java
+++ b/review/rig2/Store.java
@@ -20,6 +20,7 @@
 public final class Store {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int PAGE_OBJECTS = 500;
+    private static final int PAGE_BYTES = 1 << 20;
 
     private record Event(long revision, String kind, ObjectNode object, boolean deleted) {}
 
@@ -95,10 +96,17 @@
     private synchronized Answer list(String kind, String after) {
         ArrayNode items = JSON.createArrayNode();
         Map<String, ObjectNode> rest = objects(kind).tailMap(after, false);
-        rest.values().stream().limit(PAGE_OBJECTS).forEach(items::add);
+        int bytes = 0;
+        for (ObjectNode object : rest.values()) {
+            bytes += object.toString().length();
+            if (!items.isEmpty() && (items.size() == PAGE_OBJECTS || bytes > PAGE_BYTES)) {
+                break;
+            }
+            items.add(object);
+        }
         ObjectNode page = JSON.createObjectNode();
         page.set("items", items);
-        page.put("hasMore", rest.size() > PAGE_OBJECTS);
+        page.put("hasMore", rest.size() > items.size());
         page.put("currentRev", revision);
         return new Answer(200, page);
     }
@@ -108,18 +116,26 @@
         long endNanos = System.nanoTime() + Long.parseLong(query.getOrDefault("waitMs", "0")) * 1_000_000;
         while (true) {
             ArrayNode events = JSON.createArrayNode();
+            long known = revision;
+            int bytes = 0;
             for (Event event : history) {
                 if (event.revision > since && event.kind.equals(kind)) {
+                    bytes += event.object.toString().length();
+                    if (!events.isEmpty() && (events.size() == PAGE_OBJECTS || bytes > PAGE_BYTES)) {
+                        break;
+                    }
                     ObjectNode node = events.addObject();
                     node.set("object", event.object);
                     node.put("deleted", event.deleted);
+                    known = event.revision;
                 }
             }
+            known = bytes > PAGE_BYTES || events.size() == PAGE_OBJECTS ? known : revision;
             long leftMs = (endNanos - System.nanoTime()) / 1_000_000;
             if (!events.isEmpty() || leftMs <= 0) {
                 ObjectNode changes = JSON.createObjectNode();
                 changes.set("events", events);
-                changes.put("currentRev", revision);
+                changes.put("currentRev", known);
                 return new Answer(200, changes);
             }
             wait(leftMs);
