--- a/review/rig2/ChunkedUploads.java
+++ b/review/rig2/ChunkedUploads.java
@@ -18,7 +18,10 @@
  * Argument: the record's file.
  */
 public final class ChunkedUploads {
-    private static final int USUAL_CLIENTS = 12;
+    /** Longer than the 3 s after its start for which a machine isn't in touch. */
+    private static final int STABLE_MS = 5_000;
+
+    private static final int USUAL_CLIENTS = 16;
     private static final double BURST = 2.5;
     private static final int BODY_BYTES = 4_000_000;
     private static final int CHUNK_BYTES = 16_000;
@@ -60,8 +63,9 @@
         deployment.startHeartbeats();
         deployment.gateway("front-zona-lago-1");
         int port = deployment.fronts.get(0);
+        Thread.sleep(STABLE_MS);
         int uploads = rig.trouble ? (int) (USUAL_CLIENTS * BURST) : USUAL_CLIENTS;
-        rig.note("gateway ready; " + uploads + " clients upload " + BODY_BYTES + " bytes each in chunks of " + CHUNK_BYTES
+        rig.note("gateway ready for " + STABLE_MS + " ms; " + uploads + " clients upload " + BODY_BYTES + " bytes each in chunks of " + CHUNK_BYTES
                 + " bytes, one each " + CHUNK_PAUSE_MS + " ms");
         ExecutorService clients = Executors.newCachedThreadPool();
         List<Future<Outcome>> large = new ArrayList<>();
--- a/review/rig2/UnframedCrash.java
+++ b/review/rig2/UnframedCrash.java
@@ -8,6 +8,9 @@
 
 /** An engine of an evacuated zone crashes while it answers; its answers have no length. Argument: the record's file. */
 public final class UnframedCrash {
+    /** Longer than the 3 s after its start for which a machine isn't in touch. */
+    private static final int STABLE_MS = 5_000;
+
     /** The pause between the two halves of an answer, as a number of steps and their length. */
     private static final int STEPS = 50;
 
@@ -44,7 +47,8 @@
         }
         deployment.startHeartbeats();
         deployment.gateway("front-zona-lago-1");
-        rig.note("gateway ready, disruption " + (rig.trouble ? "on" : "off"));
+        Thread.sleep(STABLE_MS);
+        rig.note("gateway ready for " + STABLE_MS + " ms, disruption " + (rig.trouble ? "on" : "off"));
         int before = round(rig, deployment, "zona-monti", false);
         int broken = round(rig, deployment, "zona-colline", true);
         rig.note("answers that looked complete and were not: " + before + " after the crash in zona-monti, " + broken
