--- a/review/rig2/Rig.java
+++ b/review/rig2/Rig.java
@@ -12,8 +12,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
@@ -23,6 +25,8 @@
     static final int BROKEN = 1;
     static final int COULD_NOT_RUN = 2;
 
+    private static final Set<Integer> GIVEN_PORTS = new HashSet<>();
+
     private final List<Process> processes = new ArrayList<>();
     private final StringBuilder record = new StringBuilder();
     private final long startedNanos = System.nanoTime();
@@ -41,10 +45,14 @@
         System.out.println(line);
     }
 
-    /** Returns a port that was free a moment ago. */
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+    /** Returns a port that was free a moment ago, each one once. */
+    static synchronized int freePort() throws IOException {
+        while (true) {
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                if (GIVEN_PORTS.add(socket.getLocalPort())) {
+                    return socket.getLocalPort();
+                }
+            }
         }
     }
 
