--- a/review/rig2/Deployment.java
+++ b/review/rig2/Deployment.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.Timer;
 import java.util.TimerTask;
 import java.util.concurrent.ConcurrentHashMap;
@@ -16,6 +17,7 @@
     final Map<String, Process> engines = new HashMap<>();
     private final Map<String, String> entries = new HashMap<>();
     private final Map<String, String> states = new ConcurrentHashMap<>();
+    private final Set<String> left = ConcurrentHashMap.newKeySet();
     private long sequence;
 
     Deployment(Rig rig) throws Exception {
@@ -39,6 +41,9 @@
     }
 
     private synchronized void beat(String method, String id, String state) throws IOException {
+        if (left.contains(id)) {
+            return;
+        }
         String path = "/objects/servers" + (method.equals("POST") ? "" : "/" + id);
         Rig.store(storePort, method, path, "{\"metadata\":{\"name\":\"" + id + "\"},\"spec\":{" + entries.get(id)
                 + ",\"state\":\"" + state + "\",\"seq\":" + (++sequence) + "}}");
@@ -51,7 +56,7 @@
             public void run() {
                 for (Map.Entry<String, Process> engine : engines.entrySet()) {
                     try {
-                        if (engine.getValue().isAlive()) {
+                        if (engine.getValue().isAlive() && !left.contains(engine.getKey())) {
                             beat("PUT", engine.getKey(), states.getOrDefault(engine.getKey(), "ready"));
                         }
                     } catch (IOException lost) {
@@ -68,6 +73,14 @@
         beat("PUT", id, state);
     }
 
+    /** Removes the entry of an engine, which goes on serving and writes no entry any more. */
+    void remove(String id) throws IOException {
+        left.add(id);
+        synchronized (this) {
+            Rig.store(storePort, "DELETE", "/objects/servers/" + id, "");
+        }
+    }
+
     void configure(String spec) throws IOException {
         Rig.store(storePort, "POST", "/objects/config", "{\"metadata\":{\"name\":\"main\"},\"spec\":" + spec + "}");
     }
--- a/review/rig2/Store.java
+++ b/review/rig2/Store.java
@@ -26,6 +26,7 @@
 
     private final Map<String, TreeMap<String, ObjectNode>> kinds = new HashMap<>();
     private final List<Event> history = new ArrayList<>();
+    private final Map<String, String> unreadable = new HashMap<>();
     private long revision = 1;
 
     public static void main(String[] arguments) throws Exception {
@@ -50,7 +51,7 @@
             return;
         }
         exchange.getResponseHeaders().set("Content-Type", "application/json");
-        byte[] bytes = answer.body == null ? new byte[0] : JSON.writeValueAsBytes(answer.body);
+        byte[] bytes = answer.body == null ? new byte[0] : encode(answer.body);
         exchange.sendResponseHeaders(answer.status, bytes.length == 0 ? -1 : bytes.length);
         if (bytes.length > 0) {
             exchange.getResponseBody().write(bytes);
@@ -60,6 +61,25 @@
 
     private record Answer(int status, JsonNode body) {}
 
+    /** Encodes an answer, with the bytes of unreadable contents as another writer left them. */
+    private synchronized byte[] encode(JsonNode body) throws IOException {
+        String text = JSON.writeValueAsString(body);
+        for (Map.Entry<String, String> raw : unreadable.entrySet()) {
+            text = text.replace('"' + raw.getKey() + '"', raw.getValue());
+        }
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Stores an object whose content is bytes that are no JSON. */
+    private synchronized Answer writeUnreadable(String kind, String name, byte[] content) {
+        String placeholder = "unreadable-content-of-" + name;
+        unreadable.put(placeholder, new String(content, StandardCharsets.UTF_8));
+        ObjectNode sent = JSON.createObjectNode();
+        sent.withObject("/metadata").put("name", name);
+        sent.put("spec", placeholder);
+        return write("POST", kind, new String[] {"", "objects", kind}, sent, Map.of());
+    }
+
     private Answer answer(HttpExchange exchange, byte[] body) throws IOException, InterruptedException {
         String[] path = exchange.getRequestURI().getPath().split("/");
         Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
@@ -74,6 +94,9 @@
         if (method.equals("GET")) {
             return query.containsKey("watch") ? watch(kind, query) : list(kind, query.getOrDefault("after", ""));
         }
+        if (method.equals("POST") && query.containsKey("unreadable")) {
+            return writeUnreadable(kind, query.get("unreadable"), body);
+        }
         JsonNode sent = body.length == 0 ? JSON.createObjectNode() : JSON.readTree(body);
         return write(method, kind, path, sent, query);
     }
