--- a/review/rig2/OddEntries.java
+++ b/review/rig2/OddEntries.java
@@ -18,6 +18,7 @@
     private static final int SETTLING_MS = 5_000;
     private static final int DRAIN_MS = 2_000;
     private static final int GATEWAYS = 2;
+    private static final int ENGINES = 4;
     private static final int REQUESTS = 60;
     private static final int REQUEST_PAUSE_MS = 200;
     private static final int ROUTE_TIMEOUT_MS = 3_000;
@@ -44,7 +45,7 @@
         Deployment deployment = new Deployment(rig);
         deployment.configure(Deployment.configuration(
                 Deployment.route("prenota-banco", "/book/", "non_idempotent", "banchi", ROUTE_TIMEOUT_MS, 1), "banchi"));
-        for (int number = 1; number <= 3; number++) {
+        for (int number = 1; number <= ENGINES; number++) {
             deployment.engine("i-banchi-" + number, "banchi", "zona-lago", 6, "1", "5", "800", "framed");
         }
         deployment.startHeartbeats();
@@ -63,7 +64,7 @@
         Thread.sleep(SETTLING_MS);
         deployment.report("i-banchi-1", "draining");
         long acknowledged = System.nanoTime();
-        rig.note("engine i-banchi-1, one of 3, reports that it drains (acknowledged)");
+        rig.note("engine i-banchi-1, one of " + ENGINES + ", reports that it drains (acknowledged)");
         Map<String, Long> sentMs = new ConcurrentHashMap<>();
         ExecutorService clients = Executors.newCachedThreadPool();
         List<List<Future<Integer>>> requests = new ArrayList<>(List.of(new ArrayList<>(), new ArrayList<>()));
--- a/review/rig2/UnframedCrash.java
+++ b/review/rig2/UnframedCrash.java
@@ -16,7 +16,8 @@
 
     private static final int STEP_MS = 100;
     private static final int BYTES = 800;
-    private static final int REQUESTS = 12;
+    private static final int REQUESTS = 24;
+    private static final int ENGINES_PER_ZONE = 2;
     private static final List<String> ZONES = List.of("zona-lago", "zona-pianura", "zona-monti", "zona-colline");
     private static final String[] BEHAVIOUR = {
         Integer.toString(STEPS), Integer.toString(STEP_MS), Integer.toString(BYTES), "unframed"
@@ -43,7 +44,9 @@
         deployment.configure(Deployment.configuration(
                 Deployment.route("prenota-banco", "/book/", "non_idempotent", "banchi", 15_000, 1), "banchi"));
         for (String zone : ZONES) {
-            deployment.engine("i-banchi-" + zone, "banchi", zone, 6, BEHAVIOUR);
+            for (int number = 1; number <= ENGINES_PER_ZONE; number++) {
+                deployment.engine("i-banchi-" + zone + "-" + number, "banchi", zone, 6, BEHAVIOUR);
+            }
         }
         deployment.startHeartbeats();
         deployment.gateway("front-zona-lago-1");
@@ -71,8 +74,9 @@
         }
         Thread.sleep(2_050);
         if (rig.trouble) {
-            deployment.engines.get("i-banchi-" + zone).destroyForcibly();
-            rig.note("engine i-banchi-" + zone + " crashes (SIGKILL), one of " + ZONES.size() + " of its service");
+            deployment.engines.get("i-banchi-" + zone + "-1").destroyForcibly();
+            rig.note("engine i-banchi-" + zone + "-1 crashes (SIGKILL), one of " + ENGINES_PER_ZONE * ZONES.size()
+                    + " of its service");
         }
         int broken = 0;
         for (Future<Rig.Answer> answer : answers) {
--- a/review/rig2/UnreadableCopy.java
+++ b/review/rig2/UnreadableCopy.java
@@ -19,6 +19,7 @@
     private static final int OBSERVED_MS = 8_000;
     private static final int REQUEST_PAUSE_MS = 50;
     private static final int GATEWAYS = 2;
+    private static final int ENGINES = 4;
     private static final String LEAVING = "i-banchi-1";
 
     private UnreadableCopy() {}
@@ -41,7 +42,7 @@
         Deployment deployment = new Deployment(rig);
         deployment.configure(Deployment.configuration(
                 Deployment.route("prenota-banco", "/book/", "non_idempotent", "banchi", 3_000, 1), "banchi"));
-        for (int number = 1; number <= 3; number++) {
+        for (int number = 1; number <= ENGINES; number++) {
             deployment.engine("i-banchi-" + number, "banchi", "zona-lago", 6, "1", "5", "800", "framed");
         }
         deployment.startHeartbeats();
@@ -55,7 +56,7 @@
         copy = copy.substring(0, copy.length() * 9 / 10);
         deployment.remove(LEAVING);
         long acknowledged = System.nanoTime();
-        rig.note("the entry of " + LEAVING + ", one of 3 engines, is removed (acknowledged); the engine serves on");
+        rig.note("the entry of " + LEAVING + ", one of " + ENGINES + " engines, is removed (acknowledged); the engine serves on");
         ExecutorService clients = Executors.newCachedThreadPool();
         Map<String, Long> sentMs = new ConcurrentHashMap<>();
         boolean copied = !rig.trouble;
@@ -96,7 +97,7 @@
         for (String event : List.of("endpoint=" + LEAVING + " revision", "event=history_lost kind=ENDPOINTS", "event=object_rejected")) {
             rig.logLines(event).stream().limit(6).forEach(line -> rig.note("gateway: " + line));
         }
-        rig.logLines("event=objects_listed kind=ENDPOINTS").stream().filter(line -> !line.contains("objects=3 "))
+        rig.logLines("event=objects_listed kind=ENDPOINTS").stream().filter(line -> !line.contains("objects=" + (ENGINES - 1) + " "))
                 .forEach(line -> rig.note("gateway: " + line));
         rig.note(late.size() + " of " + runs + " requests reached " + LEAVING + " and were sent later than " + DRAIN_MS
                 + " ms after the acknowledgement");
