--- a/review/rig2/OddEntries.java
+++ b/review/rig2/OddEntries.java
@@ -1,3 +1,5 @@
+import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -75,7 +77,7 @@
                 requests.get(gateway).add(clients.submit(() -> {
                     sentMs.put(attempt, (System.nanoTime() - acknowledged) / 1_000_000);
                     int status = send(port, attempt);
-                    rig.note("client " + attempt + ": " + (status == 0 ? "no answer" : "status " + status));
+                    rig.note("client " + attempt + ": " + (status == 0 ? "no answer" : status < 0 ? "connection ended" : "status " + status));
                     return status;
                 }));
             }
@@ -105,14 +107,16 @@
         return unserved || late > 0 ? Rig.BROKEN : Rig.HELD;
     }
 
-    /** Sends a small request; returns the status, 0 if there is no final answer within the rule's bound. */
+    /** Sends a small request; returns the status, 0 if there is no answer within the rule's bound, -1 if the connection ended. */
     private static int send(int port, String attempt) {
         try {
             return Rig.request(port, "POST /book/1 HTTP/1.1\r\nHost: show.example\r\nX-Attempt-Id: " + attempt
                     + "\r\nX-Deadline-Ms: " + ROUTE_TIMEOUT_MS + "\r\nContent-Length: 2\r\nConnection: close\r\n\r\n",
                     "ok".getBytes(), ROUTE_TIMEOUT_MS + RULE_SLACK_MS).status;
-        } catch (java.io.IOException lost) {
+        } catch (SocketTimeoutException silent) {
             return 0;
+        } catch (IOException ended) {
+            return -1;
         }
     }
 
