--- a/review/rig2/UnframedCrash.java
+++ b/review/rig2/UnframedCrash.java
@@ -17,8 +17,8 @@
     private static final int STEP_MS = 100;
     private static final int BYTES = 800;
     private static final int REQUESTS = 24;
-    private static final int ENGINES_PER_ZONE = 2;
-    private static final List<String> ZONES = List.of("zona-lago", "zona-pianura", "zona-monti", "zona-colline");
+    private static final int ENGINES_PER_ZONE = 3;
+    private static final List<String> ZONES = List.of("zona-lago", "zona-pianura", "zona-colline");
     private static final String[] BEHAVIOUR = {
         Integer.toString(STEPS), Integer.toString(STEP_MS), Integer.toString(BYTES), "unframed"
     };
@@ -52,9 +52,9 @@
         deployment.gateway("front-zona-lago-1");
         Thread.sleep(STABLE_MS);
         rig.note("gateway ready for " + STABLE_MS + " ms, disruption " + (rig.trouble ? "on" : "off"));
-        int before = round(rig, deployment, "zona-monti", false);
+        int before = round(rig, deployment, "zona-pianura", false);
         int broken = round(rig, deployment, "zona-colline", true);
-        rig.note("answers that looked complete and were not: " + before + " after the crash in zona-monti, " + broken
+        rig.note("answers that looked complete and were not: " + before + " after the crash in zona-pianura, " + broken
                 + " after the crash in zona-colline, which was evacuated");
         return before + broken > 0 ? Rig.BROKEN : Rig.HELD;
     }
