--- a/review/rig2/Deployment.java
+++ b/review/rig2/Deployment.java
@@ -86,15 +86,15 @@
     }
 
     void gateway(String name) throws Exception {
-        gateway(name, storePort);
+        gateway(name, "zona-lago", storePort);
     }
 
-    /** Starts a gateway that reaches the store at another port, for instance a proxy's. */
-    void gateway(String name, int storeAddressPort) throws Exception {
+    /** Starts a gateway of a zone that reaches the store at another port, for instance a proxy's. */
+    void gateway(String name, String zone, int storeAddressPort) throws Exception {
         int front = Rig.freePort();
         int ready = Rig.freePort();
         int peers = Rig.freePort();
-        gateways.add(rig.gateway(Rig.settings(name, storeAddressPort, front, ready, peers)));
+        gateways.add(rig.gateway(Rig.settings(name, zone, storeAddressPort, front, ready, peers)));
         fronts.add(front);
         Rig.awaitReady(ready, "/readiness", 30_000);
     }
--- a/review/rig2/Rig.java
+++ b/review/rig2/Rig.java
@@ -93,10 +93,10 @@
     }
 
     /** Returns the settings of a gateway as in the pages' example, with ports of this machine. */
-    static Map<String, String> settings(String name, int storePort, int front, int ready, int peers) {
+    static Map<String, String> settings(String name, String zone, int storePort, int front, int ready, int peers) {
         Map<String, String> values = new TreeMap<>();
         values.put("nodeName", name);
-        values.put("zone", "zona-lago");
+        values.put("zone", zone);
         values.put("platform.address", "127.0.0.1:" + storePort);
         values.put("listen.front", "127.0.0.1:" + front);
         values.put("listen.ready", "127.0.0.1:" + ready);
--- a/review/rig2/SilentAnswer.java
+++ b/review/rig2/SilentAnswer.java
@@ -40,13 +40,13 @@
     private static int run(Rig rig) throws Exception {
         Deployment deployment = new Deployment(rig);
         deployment.configure(configuration(1, "key-one"));
-        deployment.engine("i-banchi-1", "banchi", "zona-lago", 6, "1", "5", "800", "framed");
+        deployment.engine("i-reservations-1", "reservations", "levis", 6, "1", "5", "800", "framed");
         deployment.startHeartbeats();
         List<Proxy> proxies = new ArrayList<>();
         for (int gateway = 1; gateway <= GATEWAYS; gateway++) {
             Proxy proxy = new Proxy(deployment.storePort);
             proxies.add(proxy);
-            deployment.gateway("front-zona-lago-" + gateway, proxy.port());
+            deployment.gateway("front-levis-" + gateway, "levis", proxy.port());
         }
         for (int port : deployment.fronts) {
             rig.note("gateway ready; before the change a request with the key gets " + send(port, "before-" + port));
@@ -115,11 +115,12 @@
 
     private static String configuration(int version, String key) {
         StringBuilder routes = new StringBuilder(
-                Deployment.route("prenota-banco", "/book/", "non_idempotent", "banchi", 600, 1).replace("\"public\":true", "\"public\":false"));
+                Deployment.route("reservation-treuil", "/book/", "non_idempotent", "reservations", 600, 1)
+                        .replace("\"public\":true", "\"public\":false"));
         for (int number = 0; number < MORE_ROUTES; number++) {
-            routes.append(',').append(Deployment.route("more-" + number, "/more" + number + "/", "idempotent", "banchi", 600, 2));
+            routes.append(',').append(Deployment.route("more-" + number, "/more" + number + "/", "idempotent", "reservations", 600, 2));
         }
-        String text = Deployment.configuration(routes.toString(), "banchi");
+        String text = Deployment.configuration(routes.toString(), "reservations");
         return text.replace("{\"version\":1,", "{\"version\":" + version + ",\"tenants\":[{\"name\":\"grower\",\"apiKeys\":[\"" + key
                 + "\"]},{\"name\":\"judge\",\"apiKeys\":[\"key-judge\"]}],");
     }
