--- a/review/rig2/OddEntries.java
+++ b/review/rig2/OddEntries.java
@@ -13,13 +13,13 @@
  * Another writer lists large entries among the engines, which name no engine to use. Argument: the record's file.
  */
 public final class OddEntries {
-    private static final int ENTRIES = 16;
+    private static final int ENTRIES = 10;
     private static final int LARGE_CHARACTERS = 1_000_000;
     private static final int SMALL_CHARACTERS = 100;
     private static final int WRITE_PAUSE_MS = 300;
     private static final int SETTLING_MS = 5_000;
     private static final int DRAIN_MS = 2_000;
-    private static final int GATEWAYS = 2;
+    private static final int GATEWAYS = 4;
     private static final int ENGINES = 4;
     private static final int REQUESTS = 60;
     private static final int REQUEST_PAUSE_MS = 200;
@@ -55,8 +55,9 @@
             deployment.gateway("front-zona-lago-" + number);
         }
         int characters = rig.trouble ? LARGE_CHARACTERS : SMALL_CHARACTERS;
-        rig.note(GATEWAYS + " gateways ready; requests before: " + send(deployment.fronts.get(0), "before-1") + ", "
-                + send(deployment.fronts.get(1), "before-2"));
+        for (int port : deployment.fronts) {
+            rig.note("gateway ready; a request before gets " + send(port, "before-" + port));
+        }
         for (int number = 0; number < ENTRIES; number++) {
             Rig.store(deployment.storePort, "POST", "/objects/servers", "{\"metadata\":{\"name\":\"other-" + number
                     + "\"},\"spec\":{\"service\":5,\"samples\":" + samples(characters) + "}}");
@@ -69,7 +70,10 @@
         rig.note("engine i-banchi-1, one of " + ENGINES + ", reports that it drains (acknowledged)");
         Map<String, Long> sentMs = new ConcurrentHashMap<>();
         ExecutorService clients = Executors.newCachedThreadPool();
-        List<List<Future<Integer>>> requests = new ArrayList<>(List.of(new ArrayList<>(), new ArrayList<>()));
+        List<List<Future<Integer>>> requests = new ArrayList<>();
+        for (int gateway = 0; gateway < GATEWAYS; gateway++) {
+            requests.add(new ArrayList<>());
+        }
         for (int number = 0; number < REQUESTS; number++) {
             for (int gateway = 0; gateway < GATEWAYS; gateway++) {
                 int port = deployment.fronts.get(gateway);
