Store calls: a connection that goes silent within a response is noticed after a second

Cause: once the head of a response with stored objects had arrived, its body had 4 s beyond the timeout of its call, also when no byte arrived any more. The extra time is now given only while bytes arrive, so every call ends within a second of the last byte, and the next one uses a new connection.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -179,7 +179,8 @@
                                 settings.features().storeReadsPerSecond(), StoreSynchronizer.SHORT_WAITS_MS),
                         tables.peers(),
                         owners::ownedKeys,
-                        clock));
+                        clock),
+                settings.features().storeSilence());
         this.rollouts = settings.features()
                 .rollout()
                 .map(bounds -> new Rollouts(
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/FeedWaits.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/FeedWaits.java
@@ -36,14 +36,15 @@
 
     /** Returns the wait of the next watch, in milliseconds. */
     int nextMs(ClockReading now) {
-        int shortMs = timing.maxWaitMs();
+        int shortMs = timing.waitMs();
         if (!followsReports()) {
             return shortMs;
         }
         return switch (role.get()) {
             case INDEPENDENT -> shortMs;
             case REPORTER -> Math.min(shortMs, ContactPlan.REPORTER_WAIT_MS);
-            case FOLLOWER -> plan.allowsLongWait(now) ? ContactPlan.LONG_WAIT_MS : shortMs;
+            case FOLLOWER ->
+                timing.silence().allowsReports() && plan.allowsLongWait(now) ? ContactPlan.LONG_WAIT_MS : shortMs;
         };
     }
 
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -378,7 +378,7 @@
             listAnew();
             return;
         }
-        watch(history.settling() ? (int) Math.min(timing.maxWaitMs(), nextListMs) : waits.nextMs(clock.read()));
+        watch(history.settling() ? (int) Math.min(timing.waitMs(), nextListMs) : waits.nextMs(clock.read()));
     }
 
     private void watch(int waitMs) {
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
@@ -16,6 +16,7 @@
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectReader;
 import org.pimentovale.gateway.port.PlatformStore;
+import org.pimentovale.gateway.settings.StoreSilence;
 import org.pimentovale.gateway.suspect.SuspectTracker;
 import org.pimentovale.kernel.directory.EndpointRecord;
 import org.pimentovale.kernel.history.ContactRole;
@@ -81,6 +82,7 @@
      * @param ownInstance keeps this gateway's object in the store
      * @param confirmedStates asks peers what was confirmed before the store was restored
      * @param roles tells whether this gateway reports to others, or follows their reports
+     * @param silence bounds how late changes may be known on connections that have gone silent
      */
     public StoreSynchronizer(
             Vertx vertx,
@@ -93,7 +95,8 @@
             Runnable endpointsChanged,
             InstanceRegistration ownInstance,
             ConfirmedStateClient confirmedStates,
-            ContactRoles roles) {
+            ContactRoles roles,
+            StoreSilence silence) {
         this.vertx = vertx;
         this.reader = reader;
         this.rejectedObjects = rejectedObjects;
@@ -106,19 +109,20 @@
                 store,
                 random,
                 ObjectKind.CONFIGURATION,
-                new FeedTiming(CONFIGURATION_WAIT_MS, () -> 0, RETENTION_MS),
+                new FeedTiming(CONFIGURATION_WAIT_MS, () -> 0, RETENTION_MS, silence.changes()),
                 new ConfigurationListener());
         addFeed(
                 store,
                 random,
                 ObjectKind.ENDPOINTS,
-                new FeedTiming(ENDPOINTS_WAIT_MS, this::endpointsBatchDelayMs, ENDPOINTS_RETENTION_MS),
+                new FeedTiming(
+                        ENDPOINTS_WAIT_MS, this::endpointsBatchDelayMs, ENDPOINTS_RETENTION_MS, silence.changes()),
                 new EndpointListener());
         addFeed(
                 store,
                 random,
                 ObjectKind.WITHDRAWN_ZONES,
-                new FeedTiming(ZONES_WAIT_MS, () -> 0, RETENTION_MS),
+                new FeedTiming(ZONES_WAIT_MS, () -> 0, RETENTION_MS, silence.withdrawals()),
                 new ZoneListener(tables, () -> markListed(ObjectKind.WITHDRAWN_ZONES), endpointsChanged));
         addFeed(
                 store,
--- a/gateway/src/main/java/org/pimentovale/gateway/settings/GatewaySettingsReader.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/settings/GatewaySettingsReader.java
@@ -10,6 +10,7 @@
 import org.pimentovale.error.ServingException;
 import org.pimentovale.gateway.settings.GatewaySettings.RetryBudgetSettings;
 import org.pimentovale.kernel.hedge.HedgeSettings;
+import org.pimentovale.kernel.history.SilenceLimit;
 import org.pimentovale.kernel.rollout.RolloutSettings;
 import org.pimentovale.toml.TomlProblem;
 import org.pimentovale.toml.TomlSection;
@@ -30,6 +31,7 @@
     private static final double BYTES_PER_MEGABYTE = 1e6;
     private static final long MS_PER_SECOND = 1_000;
     static final double MAX_LINK_MBPS = 10_000_000;
+    static final int MAX_SILENCE_MS = 3_600_000;
 
     /**
      * Parses and validates settings.
@@ -108,7 +110,21 @@
                 engineMemory(root.section("placement")),
                 fairQueueing(root.section("stages")),
                 readsPerSecond == 0 ? OptionalDouble.empty() : OptionalDouble.of(readsPerSecond),
-                responseMemoryBytes(root.section("buffers")));
+                responseMemoryBytes(root.section("buffers")),
+                storeSilence(root.section("store_silence")));
+    }
+
+    private static StoreSilence storeSilence(TomlSection silence) {
+        try (silence) {
+            return new StoreSilence(silenceLimit(silence, "changes_ms"), silenceLimit(silence, "withdrawals_ms"));
+        }
+    }
+
+    private static SilenceLimit silenceLimit(TomlSection silence, String key) {
+        return silence.keys().contains(key)
+                ? new SilenceLimit(
+                        (int) silence.decimal(key, MAX_SILENCE_MS, SilenceLimit.MIN_LIMIT_MS, MAX_SILENCE_MS))
+                : SilenceLimit.NONE;
     }
 
     private static Optional<RolloutSettings> rolloutSettings(TomlSection rollout) {
--- a/gateway/src/main/java/org/pimentovale/gateway/settings/SettingsEnvironment.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/settings/SettingsEnvironment.java
@@ -5,6 +5,7 @@
 import java.util.OptionalDouble;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
+import org.pimentovale.kernel.history.SilenceLimit;
 import org.pimentovale.kernel.rollout.RolloutSettings;
 
 /**
@@ -17,6 +18,8 @@
     private static final String EXPOSURE_SHARE = "GATEWAY_ROLLOUT_EXPOSURE_SHARE";
     private static final String EXPOSURE_SLACK = "GATEWAY_ROLLOUT_EXPOSURE_SLACK";
     private static final String ROLLBACK_MS = "GATEWAY_ROLLOUT_ROLLBACK_MS";
+    private static final String CHANGES_SILENCE_MS = "GATEWAY_STORE_SILENCE_CHANGES_MS";
+    private static final String WITHDRAWALS_SILENCE_MS = "GATEWAY_STORE_SILENCE_WITHDRAWALS_MS";
 
     private final Map<String, String> variables;
 
@@ -34,11 +37,23 @@
                 features.engineMemory(),
                 features.fairQueueing(),
                 readsPerSecond.isPresent() ? readsPerSecond : features.storeReadsPerSecond(),
-                features.responseMemoryBytes());
+                features.responseMemoryBytes(),
+                storeSilence(features.storeSilence()));
         OptionalDouble linkMbps = number(LINK_MBPS, GatewaySettingsReader.MAX_LINK_MBPS);
         return settings.withFeatures(changed).withLinkMbps(linkMbps.orElse(settings.linkMbps()));
     }
 
+    private StoreSilence storeSilence(StoreSilence settings) {
+        return new StoreSilence(
+                silence(CHANGES_SILENCE_MS).orElse(settings.changes()),
+                silence(WITHDRAWALS_SILENCE_MS).orElse(settings.withdrawals()));
+    }
+
+    private Optional<SilenceLimit> silence(String variable) {
+        OptionalDouble limitMs = number(variable, SilenceLimit.MIN_LIMIT_MS, GatewaySettingsReader.MAX_SILENCE_MS);
+        return limitMs.isPresent() ? Optional.of(new SilenceLimit((int) limitMs.getAsDouble())) : Optional.empty();
+    }
+
     /** Returns the bounds of roll-outs, empty unless all are set. */
     private Optional<RolloutSettings> rollout() {
         OptionalDouble share = number(EXPOSURE_SHARE, 1);
@@ -52,13 +67,17 @@
     }
 
     private OptionalDouble number(String variable, double max) {
+        return number(variable, 0, max);
+    }
+
+    private OptionalDouble number(String variable, double min, double max) {
         String value = variables.getOrDefault(variable, "");
         if (value.isEmpty()) {
             return OptionalDouble.empty();
         }
         try {
             double number = Double.parseDouble(value);
-            if (number >= 0 && number <= max) {
+            if (number >= min && number <= max) {
                 return OptionalDouble.of(number);
             }
         } catch (NumberFormatException malformed) {
@@ -66,6 +85,6 @@
         }
         throw ServingException.notRun(
                 ErrorCode.SETTINGS_INVALID,
-                variable + " = \"" + value + "\": expected a number from 0 to " + (long) max);
+                variable + " = \"" + value + "\": expected a number from " + (long) min + " to " + (long) max);
     }
 }
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/FeedWaitsTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/FeedWaitsTest.java
@@ -10,6 +10,7 @@
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.kernel.history.ContactPlan;
 import org.pimentovale.kernel.history.ContactRole;
+import org.pimentovale.kernel.history.SilenceLimit;
 import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.time.ClockReading;
 
@@ -56,6 +57,17 @@
             assertThat(waits.nextMs(START)).isEqualTo(SHORT_MS);
         }
 
+        /** Guards against changes that are known late on a silent connection because of the delay between watches. */
+        @Test
+        void leaveTheBatchDelayWithinTheLimitOnSilence() {
+            FeedWaits limited =
+                    new FeedWaits(new FeedTiming(SHORT_MS, () -> 400, 0, new SilenceLimit(3_000)), () -> role);
+            limited.recordList(LISTED, START);
+            limited.recordReport(LISTED, START, LISTED, START);
+
+            assertThat(limited.nextMs(START)).isEqualTo(1_700);
+        }
+
         @Test
         void thatAreLongEndWhenThisGatewayBecomesAReporter() {
             waits.recordReport(LISTED, START, LISTED, START);
--- a/gateway/src/test/java/org/pimentovale/gateway/settings/GatewaySettingsReaderTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/settings/GatewaySettingsReaderTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
+import org.pimentovale.kernel.history.SilenceLimit;
 import org.pimentovale.kernel.rollout.RolloutSettings;
 
 class GatewaySettingsReaderTest {
@@ -166,4 +167,27 @@
             assertThat(failure).hasMessageThat().contains("did you mean zone?");
         }
     }
+
+    @Nested
+    class TheLimitsOnSilence {
+        @Test
+        void comeFromTheSettingsOrTheEnvironment() {
+            String text = VALID_SETTINGS + "\n[store_silence]\nchanges_ms = 2500\n";
+            StoreSilence silence = new GatewaySettingsReader()
+                    .read("gateway.toml", text, Map.of("GATEWAY_STORE_SILENCE_WITHDRAWALS_MS", "5000"))
+                    .features()
+                    .storeSilence();
+
+            assertThat(silence.changes()).isEqualTo(new SilenceLimit(2_500));
+            assertThat(silence.withdrawals()).isEqualTo(new SilenceLimit(5_000));
+        }
+
+        @Test
+        void areRefusedIfNoReaderCanKeepThem() {
+            ServingException failure = assertThrows(ServingException.class, () -> new GatewaySettingsReader()
+                    .read("gateway.toml", VALID_SETTINGS, Map.of("GATEWAY_STORE_SILENCE_CHANGES_MS", "100")));
+
+            assertThat(failure).hasMessageThat().contains("GATEWAY_STORE_SILENCE_CHANGES_MS");
+        }
+    }
 }
--- a/store/src/main/java/org/pimentovale/store/http/BodyLimit.java
+++ b/store/src/main/java/org/pimentovale/store/http/BodyLimit.java
@@ -1,11 +1,12 @@
 package org.pimentovale.store.http;
 
 import java.util.Optional;
+import org.pimentovale.kernel.history.SilenceLimit;
 
 /** How much of a response body a client holds in memory. Immutable and thread safe. */
 public enum BodyLimit {
     /** For messages between processes of the system and objects of its own store, which are sent with a marked end. */
-    MESSAGES(8 * 1_024 * 1_024, 0, true) {
+    MESSAGES(8 * 1_024 * 1_024, BodyTime.NONE, true) {
         @Override
         Optional<LongStringFilter> newFilter() {
             return Optional.empty();
@@ -15,7 +16,7 @@
      * For calls for pieces, whose results take less than a hundred bytes each. Faulty endpoints may send bodies without
      * end in all calls at the same time.
      */
-    SHORT_RESPONSES(256 * 1_024, 0, false) {
+    SHORT_RESPONSES(256 * 1_024, BodyTime.NONE, false) {
         @Override
         Optional<LongStringFilter> newFilter() {
             return Optional.empty();
@@ -24,9 +25,9 @@
     /**
      * For objects of a store to which others write as well: strings that are longer than any in use are shortened, so
      * that large objects of others leave room for the rest of the response. What accumulated during an outage may take
-     * longer to receive than a call without it.
+     * longer to receive than a call without it, but only while its bytes arrive.
      */
-    STORED_OBJECTS(8 * 1_024 * 1_024, 4_000, false) {
+    STORED_OBJECTS(8 * 1_024 * 1_024, new BodyTime(4_000, SilenceLimit.BODY_SILENCE_MS), false) {
         @Override
         Optional<LongStringFilter> newFilter() {
             return Optional.of(new LongStringFilter(MAX_STRING_BYTES));
@@ -42,12 +43,12 @@
     private static final int UNFILTERED_BYTES = 1_024 * 1_024;
 
     private final int maxBytes;
-    private final int extraTimeMs;
+    private final BodyTime time;
     private final boolean needsMarkedEnd;
 
-    BodyLimit(int maxBytes, int extraTimeMs, boolean needsMarkedEnd) {
+    BodyLimit(int maxBytes, BodyTime time, boolean needsMarkedEnd) {
         this.maxBytes = maxBytes;
-        this.extraTimeMs = extraTimeMs;
+        this.time = time;
         this.needsMarkedEnd = needsMarkedEnd;
     }
 
@@ -71,9 +72,9 @@
         return Math.min(maxBytes, UNFILTERED_BYTES);
     }
 
-    /** Returns the time for a body beyond the timeout of its call, in milliseconds. */
-    int extraTimeMs() {
-        return extraTimeMs;
+    /** Returns the time for a body beyond the timeout of its call. */
+    BodyTime time() {
+        return time;
     }
 
     /**
--- a/store/src/main/java/org/pimentovale/store/http/BusyLoopAllowance.java
+++ b/store/src/main/java/org/pimentovale/store/http/BusyLoopAllowance.java
@@ -34,6 +34,15 @@
         return new BusyLoopAllowance(timeoutMs <= MAX_CALL_TIMEOUT_MS ? timeoutMs : 0);
     }
 
+    /**
+     * Tells whether a timer fired so late that the event loop was busy.
+     *
+     * @param latenessMs how late the timer fired, in milliseconds
+     */
+    static boolean isLate(long latenessMs) {
+        return latenessMs >= MIN_LATENESS_MS;
+    }
+
     /**
      * Takes extra time for a timer that has fired.
      *
@@ -41,7 +50,7 @@
      * @return the extra time in milliseconds, zero if the call has failed
      */
     int takeMs(long latenessMs) {
-        if (latenessMs < MIN_LATENESS_MS || latenessMs > MAX_LATENESS_MS) {
+        if (!isLate(latenessMs) || latenessMs > MAX_LATENESS_MS) {
             return 0;
         }
         int extraMs = (int) Math.min(remainingMs, latenessMs);
--- a/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
+++ b/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
@@ -12,7 +12,6 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.pimentovale.error.ErrorCode;
@@ -23,7 +22,7 @@
 
 /**
  * Sends HTTP calls that end within their timeout, or within the extra time of their kind of response if that has begun
- * by then.
+ * by then and its bytes go on arriving.
  *
  * <p>A client that identifies its calls sends {@link #CALL_ID} with each of them, and a server of the same product
  * returns it. A response with another identifier belongs to an earlier call on the connection and fails the present
@@ -125,62 +124,16 @@
                 .setPort(httpCall.port())
                 .setURI(httpCall.path())
                 .setHeaders(headers);
-        AtomicBoolean headReceived = new AtomicBoolean();
+        CallTimer timer = new CallTimer(vertx, httpCall.timeoutMs(), bodyLimit, failureCode, promise);
         client.request(options)
-                .onSuccess(request -> send(request, httpCall, promise, headReceived))
+                .onSuccess(request -> send(request, httpCall, promise, timer))
                 .onFailure(failure ->
                         promise.tryFail(ServingException.notRun(failureCode, String.valueOf(failure.getMessage()))));
-        new CallTimer(httpCall.timeoutMs(), headReceived, promise).start();
+        timer.start();
         return promise.future();
     }
 
-    /**
-     * Fails a call after its timeout, or after some more time if its response has begun by then or if the event loop
-     * was busy. Not thread safe; used on one event loop.
-     */
-    private final class CallTimer {
-        private final int timeoutMs;
-        private final BusyLoopAllowance allowance;
-        private final AtomicBoolean headReceived;
-        private final Promise<HttpResponse> promise;
-        private boolean bodyTimeGiven = bodyLimit.extraTimeMs() == 0;
-
-        CallTimer(int timeoutMs, AtomicBoolean headReceived, Promise<HttpResponse> promise) {
-            this.timeoutMs = timeoutMs;
-            this.allowance = bodyLimit.newAllowance(timeoutMs);
-            this.headReceived = headReceived;
-            this.promise = promise;
-        }
-
-        void start() {
-            setTimer(Math.max(1, timeoutMs));
-        }
-
-        private void setTimer(int delayMs) {
-            long dueNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(delayMs);
-            long timer = vertx.setTimer(
-                    delayMs, fired -> handleFired(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - dueNs)));
-            promise.future().onComplete(result -> vertx.cancelTimer(timer));
-        }
-
-        private void handleFired(long latenessMs) {
-            if (headReceived.get() && !bodyTimeGiven) {
-                bodyTimeGiven = true;
-                setTimer(bodyLimit.extraTimeMs());
-                return;
-            }
-            int extraMs = headReceived.get() ? 0 : allowance.takeMs(latenessMs);
-            if (extraMs > 0) {
-                setTimer(extraMs);
-            } else {
-                promise.tryFail(
-                        ServingException.unknown(failureCode, "no complete response within " + timeoutMs + " ms"));
-            }
-        }
-    }
-
-    private void send(
-            HttpClientRequest request, HttpCall httpCall, Promise<HttpResponse> promise, AtomicBoolean headReceived) {
+    private void send(HttpClientRequest request, HttpCall httpCall, Promise<HttpResponse> promise, CallTimer timer) {
         // The call ended while it waited for a pooled connection; it must not be sent any more.
         if (promise.future().isComplete()) {
             request.reset();
@@ -191,8 +144,8 @@
         callId.ifPresent(identifier -> request.putHeader(CALL_ID, identifier));
         AtomicBoolean written = new AtomicBoolean();
         request.response()
-                .onSuccess(response -> headReceived.set(true))
-                .compose(response -> read(response, callId, written))
+                .onSuccess(response -> timer.noteHead())
+                .compose(response -> read(response, callId, written, timer))
                 .onComplete(result -> {
                     if (result.succeeded()) {
                         promise.tryComplete(result.result());
@@ -205,7 +158,8 @@
         end.onSuccess(ended -> written.set(true));
     }
 
-    private Future<HttpResponse> read(HttpClientResponse response, Optional<String> callId, AtomicBoolean written) {
+    private Future<HttpResponse> read(
+            HttpClientResponse response, Optional<String> callId, AtomicBoolean written, CallTimer timer) {
         if (!FinalStatus.isValid(response.statusCode())) {
             return Future.failedFuture(
                     ServingException.unknown(failureCode, "invalid status " + response.statusCode()));
@@ -214,7 +168,7 @@
             return Future.failedFuture(
                     ServingException.unknown(failureCode, "the response belongs to an earlier call on the connection"));
         }
-        return readBody(response, written);
+        return readBody(response, written, timer);
     }
 
     /** Tells whether a response is that of a call. One without identifier is from a server that returns none. */
@@ -223,7 +177,7 @@
         return callId.isEmpty() || returned == null || returned.equals(callId.get());
     }
 
-    private Future<HttpResponse> readBody(HttpClientResponse response, AtomicBoolean written) {
+    private Future<HttpResponse> readBody(HttpClientResponse response, AtomicBoolean written, CallTimer timer) {
         BodyFraming framing = framingOf(response);
         if (bodyLimit.needsMarkedEnd() && !framing.marksEnd()) {
             return Future.failedFuture(
@@ -232,6 +186,7 @@
         Promise<HttpResponse> complete = Promise.promise();
         BoundedBody body = bodyLimit.newBody();
         response.handler(part -> {
+            timer.noteBytes();
             if (!body.append(part)) {
                 complete.tryFail(
                         ServingException.unknown(failureCode, "body exceeds " + bodyLimit.maxBytes() + " bytes"));
--- a/store/src/test/java/org/pimentovale/store/http/TimedHttpClientTest.java
+++ b/store/src/test/java/org/pimentovale/store/http/TimedHttpClientTest.java
@@ -1,6 +1,7 @@
 package org.pimentovale.store.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -9,6 +10,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerResponse;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -16,11 +18,13 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pimentovale.error.ErrorCode;
+import org.pimentovale.kernel.history.SilenceLimit;
 
 /** Guards against changes that accumulated in an outage and are never received, since they take longer than a call. */
 class TimedHttpClientTest {
     private static final int TIMEOUT_MS = 200;
     private static final int BODY_MS = 600;
+    private static final int STEADY_PARTS = 3;
 
     private final Vertx vertx = Vertx.vertx();
     private int port;
@@ -33,12 +37,25 @@
                                 request.response().setChunked(true).write("begun ");
                                 vertx.setTimer(
                                         BODY_MS, fired -> request.response().end("ended"));
+                            } else if (request.path().equals("/silent-body")) {
+                                request.response().setChunked(true).write("begun ");
+                            } else if (request.path().equals("/steady-body")) {
+                                sendParts(request.response().setChunked(true), STEADY_PARTS);
                             }
                         })
                         .listen(0, "127.0.0.1"))
                 .actualPort();
     }
 
+    private void sendParts(HttpServerResponse response, int parts) {
+        if (parts == 0) {
+            response.end("ended");
+            return;
+        }
+        response.write("part ");
+        vertx.setTimer(BODY_MS, fired -> sendParts(response, parts - 1));
+    }
+
     @AfterEach
     void close() throws Exception {
         await(vertx.close());
@@ -73,6 +90,30 @@
         }
     }
 
+    /** Guards against changes that stay unknown for seconds because a connection goes silent within a response. */
+    @Nested
+    class ABodyThatGoesSilent {
+        /** The smallest time that the users' sites leave for noticing a silent connection and asking again. */
+        private static final int STABLE_MS = 3_000;
+
+        @Test
+        void endsItsCallBeforeAChangeHasToBeKnown() throws Exception {
+            for (BodyLimit bodyLimit : BodyLimit.values()) {
+                long startedNs = System.nanoTime();
+
+                assertThat(outcome(call(bodyLimit, "/silent-body"))).isEqualTo("failed");
+                assertWithMessage(bodyLimit.name())
+                        .that(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs))
+                        .isLessThan(STABLE_MS - SilenceLimit.NEXT_REQUEST_MS);
+            }
+        }
+
+        @Test
+        void isNotTakenForOneWhoseBytesGoOnArriving() throws Exception {
+            assertThat(outcome(call(BodyLimit.STORED_OBJECTS, "/steady-body"))).isEqualTo("part part part ended");
+        }
+    }
+
     @Nested
     class ACallWithoutResponse {
         @Test
@@ -81,7 +122,7 @@
 
             assertThat(outcome(call(BodyLimit.STORED_OBJECTS, "/silent"))).isEqualTo("failed");
             assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs))
-                    .isLessThan(BodyLimit.STORED_OBJECTS.extraTimeMs());
+                    .isLessThan(BodyLimit.STORED_OBJECTS.time().extraMs());
         }
     }
 
