Stored objects: content is kept as text within a budget, and no memory is no outage

Cause: each entry was parsed as a whole and its tree kept, five to twenty times the memory of its text; nothing bounded all of them together; an OutOfMemoryError counted as an unavailable store or ended the feed.

--- a/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/Gateway.java
@@ -321,6 +321,7 @@
                         observeTables();
                         history.storePeriodically();
                         rollouts.ifPresent(Rollouts::observeBuilds);
+                        peerListener.closeSilentPeers();
                     });
                     registration.register(new InstanceRecord(self.name(), peerAddress, self.zone(), self.linkMbps()));
                     Events.info(
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/FeedObjects.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/FeedObjects.java
@@ -1,8 +1,6 @@
 package org.pimentovale.gateway.feed;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.pimentovale.gateway.port.ObjectChanges;
@@ -10,6 +8,7 @@
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.kernel.history.ListVerdict;
 import org.pimentovale.kernel.history.ObjectHistory;
+import org.pimentovale.kernel.limit.ContentBudget;
 import org.pimentovale.kernel.time.MonotonicClock;
 
 /**
@@ -24,7 +23,7 @@
     private final FeedListener listener;
     private final MonotonicClock clock;
     private final FeedLog log;
-    private final Map<String, ObjectEntry> entries = new HashMap<>();
+    private final RetainedObjects entries;
 
     /**
      * Creates an empty set of objects.
@@ -34,20 +33,28 @@
      * @param listener receives the objects and their changes
      * @param clock the source of monotonic time
      * @param log the feed's log
+     * @param budget the memory for the content of the objects
      */
-    FeedObjects(ObjectKind kind, ObjectHistory history, FeedListener listener, MonotonicClock clock, FeedLog log) {
+    FeedObjects(
+            ObjectKind kind,
+            ObjectHistory history,
+            FeedListener listener,
+            MonotonicClock clock,
+            FeedLog log,
+            ContentBudget budget) {
         this.kind = kind;
         this.history = history;
         this.listener = listener;
         this.clock = clock;
         this.log = log;
+        this.entries = new RetainedObjects(budget);
     }
 
     /** Replaces the objects by a complete list, as far as the history accepts it. */
     void replace(List<ObjectEntry> listed, ListVerdict verdict) {
         List<ObjectEntry> accepted = select(listed, verdict.accepted());
-        entries.keySet().retainAll(verdict.retained());
-        accepted.forEach(entry -> entries.put(entry.name(), entry));
+        entries.retainAll(verdict.retained());
+        accepted.forEach(entries::put);
         listener.listed(accepted, verdict.retained());
         select(listed, verdict.reappeared()).forEach(listener::reappeared);
     }
@@ -85,13 +92,14 @@
         }
     }
 
-    /** Returns what was confirmed before the restore and is not written again yet. */
+    /** Returns what was confirmed before the restore and is not written again yet, as far as its content is known. */
     Optional<ConfirmedObjects> confirmed() {
         if (!history.settling()) {
             return Optional.empty();
         }
         List<ObjectEntry> present = history.unconfirmed().stream()
-                .map(write -> entries.get(write.name()))
+                .flatMap(write -> entries.get(write.name()).stream())
+                .filter(entry -> !entry.value().isRejected())
                 .toList();
         return Optional.of(new ConfirmedObjects(
                 kind, clock.nowMs() - history.restoreNoticedMs(), present, history.unconfirmedRemovals()));
@@ -107,7 +115,7 @@
                 .forEach(this::change);
         confirmed.removed().stream()
                 .filter(history::learnRemoval)
-                .map(write -> entries.remove(write.name()))
+                .flatMap(write -> entries.remove(write.name()).stream())
                 .forEach(listener::removed);
         log.info(
                 "confirmed_objects_learned",
@@ -121,7 +129,7 @@
     }
 
     private void change(ObjectEntry entry) {
-        entries.put(entry.name(), entry);
+        entries.put(entry);
         listener.changed(entry);
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/InstanceListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/InstanceListener.java
@@ -96,6 +96,8 @@
 
     private Optional<InstanceRecord> decode(ObjectEntry entry) {
         return rejectedObjects.decode(
-                ObjectKind.INSTANCES, entry, object -> reader.instance(object.name(), object.value()));
+                ObjectKind.INSTANCES,
+                entry,
+                object -> reader.instance(object.name(), object.value().parse()));
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -25,6 +25,7 @@
 import org.pimentovale.kernel.history.ObjectWrite;
 import org.pimentovale.kernel.history.StoreOutage;
 import org.pimentovale.kernel.history.StoreRevision;
+import org.pimentovale.kernel.limit.ContentBudget;
 import org.pimentovale.kernel.time.ClockReading;
 
 /**
@@ -43,6 +44,8 @@
     private static final Logger LOG = Logger.getLogger(ObjectFeed.class);
     private static final int CHECK_WAIT_MS = 1;
     private static final int RESPONSE_MARGIN_MS = 1_000;
+    // Ten such parts are in use if all kinds but the configuration are full and are being listed.
+    private static final int HEAP_PARTS_OF_CONTENT = 64;
 
     private final Vertx vertx;
     private final PlatformStore store;
@@ -58,6 +61,7 @@
     private final ChangeCoverage coverage;
     private final FeedConfirmations confirmations;
     private final FeedWaits waits;
+    private final ContentBudget budget;
     private final FeedObjects objects;
     private long round;
     private boolean stopped;
@@ -130,7 +134,14 @@
         this.coverage = new ChangeCoverage(timing.maxWaitMs() + RESPONSE_MARGIN_MS);
         this.confirmations = new FeedConfirmations(vertx, clock.monotonic(), this::check);
         this.waits = new FeedWaits(timing, role);
-        this.objects = new FeedObjects(kind, history, listener, clock.monotonic(), log);
+        this.budget = budgetOf(kind);
+        this.objects = new FeedObjects(kind, history, listener, clock.monotonic(), log, budget);
+    }
+
+    private static ContentBudget budgetOf(ObjectKind kind) {
+        return kind.isSingleObject()
+                ? ContentBudget.UNLIMITED
+                : new ContentBudget(Runtime.getRuntime().maxMemory() / HEAP_PARTS_OF_CONTENT);
     }
 
     /** Starts with a list request. */
@@ -256,7 +267,7 @@
         retryDelayed = false;
         listing = true;
         listSent = clock.read();
-        list(new PartialList());
+        list(new PartialList(budget));
     }
 
     private void list(PartialList listed) {
@@ -279,7 +290,7 @@
     private <T> void handleSafely(Handler<T> handler, T value) {
         try {
             handler.handle(value);
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | OutOfMemoryError failure) {
             handleFailure(failure);
         }
     }
@@ -325,6 +336,9 @@
                 verdict.retained(),
                 "reappeared",
                 verdict.reappeared());
+        if (listed.droppedContents() > 0) {
+            log.warn("contents_dropped", listed.revision(), "objects", listed.droppedContents());
+        }
         objects.replace(listed.entries(), verdict);
         confirmations.complete(coverage.coveredMs());
         eraListener.accept(listed.revision().era());
@@ -445,6 +459,10 @@
     private void handleFailure(Throwable cause) {
         waitingLong = false;
         ServingException failure = ServingException.of(cause);
+        if (isOwnShortage(cause, failure)) {
+            retryAfterShortage(failure);
+            return;
+        }
         boolean historyLost = failure.code() == ErrorCode.HISTORY_LOST;
         if (historyLost) {
             log.warn("history_lost", history.revision());
@@ -455,6 +473,21 @@
         if (!historyLost && contact.recordFailure(waits.reporterHeardMs())) {
             log.warn("store_unavailable", history.revision(), "failure", failure.getMessage());
         }
+        retryLater(historyLost);
+    }
+
+    /** Tells whether this process had no memory for a response, which says nothing of the store. */
+    private static boolean isOwnShortage(Throwable cause, ServingException failure) {
+        return cause instanceof OutOfMemoryError || failure.code() == ErrorCode.MEMORY_EXHAUSTED;
+    }
+
+    private void retryAfterShortage(ServingException failure) {
+        log.warn("response_without_memory", history.revision(), "failure", failure.getMessage());
+        confirmations.fail(failure);
+        retryLater(false);
+    }
+
+    private void retryLater(boolean historyLost) {
         if (stopped) {
             return;
         }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/QuarantineListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/QuarantineListener.java
@@ -64,6 +64,9 @@
     }
 
     private Optional<SuspectKey> decode(ObjectEntry entry) {
-        return rejectedObjects.decode(ObjectKind.QUARANTINES, entry, object -> reader.quarantine(object.value()));
+        return rejectedObjects.decode(
+                ObjectKind.QUARANTINES,
+                entry,
+                object -> reader.quarantine(object.value().parse()));
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/RejectedObjects.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/RejectedObjects.java
@@ -59,8 +59,8 @@
      * @return what was decoded, empty if the object is rejected
      */
     <T> Optional<T> decode(ObjectKind kind, ObjectEntry entry, Function<ObjectEntry, T> reader) {
-        // A null value was rejected when the store's answer was read.
-        if (entry.value().isNull()) {
+        // The content was rejected when the store's answer was read.
+        if (entry.value().isRejected()) {
             return Optional.empty();
         }
         try {
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/StoreSynchronizer.java
@@ -331,7 +331,10 @@
                 return;
             }
             rejectedObjects
-                    .decode(ObjectKind.CONFIGURATION, entry, object -> reader.configuration(object.value()))
+                    .decode(
+                            ObjectKind.CONFIGURATION,
+                            entry,
+                            object -> reader.configuration(object.value().parse()))
                     .ifPresentOrElse(next -> apply(entry, next), () -> logDamaged(entry));
         }
 
@@ -433,7 +436,9 @@
 
         private Optional<EndpointRecord> decode(ObjectEntry entry) {
             return rejectedObjects.decode(
-                    ObjectKind.ENDPOINTS, entry, object -> reader.endpoint(object.name(), object.value()));
+                    ObjectKind.ENDPOINTS,
+                    entry,
+                    object -> reader.endpoint(object.name(), object.value().parse()));
         }
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/peer/PeerListener.java
@@ -37,6 +37,7 @@
 import org.pimentovale.kernel.batch.StageTicket;
 import org.pimentovale.kernel.batch.StageWork;
 import org.pimentovale.kernel.hedge.HedgeReport;
+import org.pimentovale.kernel.limit.BodyMemory;
 import org.pimentovale.log.Events;
 import org.pimentovale.store.http.TimedHttpClient;
 
@@ -45,6 +46,7 @@
     private static final Logger LOG = Logger.getLogger(PeerListener.class);
     private static final int STATUS_OK = 200;
     private static final int STATUS_UNAVAILABLE = 503;
+    private static final int HEAP_PARTS_OF_MESSAGES = 16;
     private static final int MAX_PIECES = 10_000;
     private static final long MAX_DURATION_MS = 86_400_000;
 
@@ -59,6 +61,7 @@
     private final long startedAtMs;
     private final Optional<Rollouts> rollouts;
     private final HedgeReporter hedges;
+    private final PeerMessages messages;
 
     /**
      * Creates a listener.
@@ -98,6 +101,13 @@
         this.startedAtMs = startedAtMs;
         this.rollouts = rollouts;
         this.hedges = hedges;
+        this.messages = new PeerMessages(
+                tables::nowMs, new BodyMemory(Runtime.getRuntime().maxMemory() / HEAP_PARTS_OF_MESSAGES));
+    }
+
+    /** Closes the connections of peers whose messages have not arrived in time. To be called periodically. */
+    public void closeSilentPeers() {
+        messages.closeSilent();
     }
 
     /**
@@ -112,30 +122,31 @@
         }
         switch (http.path()) {
             case PeerPaths.ALIVE -> handleProbe(http);
-            case PeerPaths.STAGE_WORK -> http.body().onSuccess(body -> handleStageWork(http, body.getBytes()));
+            case PeerPaths.STAGE_WORK -> messages.receive(http, body -> handleStageWork(http, body.getBytes()));
             case PeerPaths.SUSPECT ->
-                http.body().onSuccess(body -> handleMessage(http, body, LossReport.class, suspects::handleLoss));
+                messages.receive(http, body -> handleMessage(http, body, LossReport.class, suspects::handleLoss));
             case PeerPaths.PERMIT ->
-                http.body()
-                        .onSuccess(body -> handleQuestion(
+                messages.receive(
+                        http,
+                        body -> handleQuestion(
                                 http,
                                 body,
                                 PermitRequest.class,
                                 request -> Future.succeededFuture(permits.handleRequest(request))));
             case PeerPaths.CONFIRMED -> sendResponse(http, Json.write(confirmedState.get()), STATUS_OK);
             case PeerPaths.STREAM_ORIGIN_LOOKUP ->
-                http.body().onSuccess(body -> handleQuestion(http, body, OriginQuestion.class, origins::answer));
+                messages.receive(http, body -> handleQuestion(http, body, OriginQuestion.class, origins::answer));
             case PeerPaths.STREAM_ORIGIN ->
-                http.body().onSuccess(body -> handleMessage(http, body, OriginRecord.class, origins::handleRecord));
+                messages.receive(http, body -> handleMessage(http, body, OriginRecord.class, origins::handleRecord));
             case PeerPaths.LIMIT_LIFTED ->
-                http.body().onSuccess(body -> handleMessage(http, body, LiftedLimit.class, permits::handleLifted));
+                messages.receive(http, body -> handleMessage(http, body, LiftedLimit.class, permits::handleLifted));
             case PeerPaths.QUARANTINE ->
-                http.body()
-                        .onSuccess(body -> handleMessage(http, body, QuarantineNotice.class, suspects::handleNotice));
+                messages.receive(
+                        http, body -> handleMessage(http, body, QuarantineNotice.class, suspects::handleNotice));
             case PeerPaths.STAGE_RELEASE ->
-                http.body().onSuccess(body -> handleMessage(http, body, StageRelease.class, this::release));
+                messages.receive(http, body -> handleMessage(http, body, StageRelease.class, this::release));
             case PeerPaths.HEDGE_REPORT ->
-                http.body().onSuccess(body -> handleQuestion(http, body, HedgeReport.class, hedges::handleReport));
+                messages.receive(http, body -> handleQuestion(http, body, HedgeReport.class, hedges::handleReport));
             default ->
                 rollouts.ifPresentOrElse(
                         known -> handleRollout(http, known),
@@ -143,12 +154,13 @@
         }
     }
 
-    private static void handleRollout(HttpServerRequest http, Rollouts rollouts) {
+    private void handleRollout(HttpServerRequest http, Rollouts rollouts) {
         switch (http.path()) {
             case PeerPaths.ROLLOUT_EVIDENCE ->
-                http.body().onSuccess(body -> handleQuestion(http, body, EvidenceReport.class, rollouts::handleReport));
+                messages.receive(
+                        http, body -> handleQuestion(http, body, EvidenceReport.class, rollouts::handleReport));
             case PeerPaths.ROLLOUT_PHASE ->
-                http.body().onSuccess(body -> handleMessage(http, body, PhaseNotice.class, rollouts::handleNotice));
+                messages.receive(http, body -> handleMessage(http, body, PhaseNotice.class, rollouts::handleNotice));
             case PeerPaths.ROLLOUTS -> sendResponse(http, rollouts.overview(), STATUS_OK);
             default -> http.response().setStatusCode(404).end();
         }
--- a/gateway/src/main/java/org/pimentovale/gateway/port/ObjectEntry.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ObjectEntry.java
@@ -1,6 +1,5 @@
 package org.pimentovale.gateway.port;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Optional;
 import org.pimentovale.kernel.history.ObjectWrite;
 import org.pimentovale.kernel.history.StoreRevision;
@@ -14,7 +13,7 @@
  * @param stamp the order in which its writer wrote it, empty if the content does not tell
  * @param value the object's content
  */
-public record ObjectEntry(String name, StoreRevision revision, Optional<WriteStamp> stamp, JsonNode value) {
+public record ObjectEntry(String name, StoreRevision revision, Optional<WriteStamp> stamp, StoredContent value) {
     /**
      * Returns the write that led to this state.
      *
@@ -23,4 +22,13 @@
     public ObjectWrite write() {
         return new ObjectWrite(name, revision, stamp);
     }
+
+    /**
+     * Returns this state of the object without its content.
+     *
+     * @return an entry whose content counts as rejected
+     */
+    public ObjectEntry withoutContent() {
+        return new ObjectEntry(name, revision, stamp, StoredContent.REJECTED);
+    }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/port/ObjectRejections.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ObjectRejections.java
@@ -11,6 +11,8 @@
         UNREADABLE,
         /** The object has no usable name or revision. */
         UNIDENTIFIED,
+        /** The content is longer than any that its kind uses, or there is no memory for it. */
+        TOO_LARGE,
         /** A field is missing, of another type or out of its range. */
         INVALID;
 
--- a/gateway/src/main/java/org/pimentovale/gateway/rollout/RolloutFeedListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/rollout/RolloutFeedListener.java
@@ -69,13 +69,13 @@
     }
 
     private Optional<RolloutOrder> decode(ObjectEntry entry) {
-        // A null value was rejected when the store's answer was read.
-        if (entry.value().isNull()) {
+        // The content was rejected when the store's answer was read.
+        if (entry.value().isRejected()) {
             return Optional.empty();
         }
         try {
-            return Optional.of(
-                    reader.rollout(entry.name(), entry.value(), entry.revision().revision()));
+            return Optional.of(reader.rollout(
+                    entry.name(), entry.value().parse(), entry.revision().revision()));
         } catch (ServingException invalid) {
             metrics.recordRejectedObject(ObjectKind.ROLLOUTS.name(), ObjectRejections.Reason.INVALID.label());
             Events.warn(LOG, "rollout_order_rejected", "name", entry.name(), "detail", invalid.getMessage());
--- a/gateway/src/main/java/org/pimentovale/gateway/stream/CheckpointedHistory.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/stream/CheckpointedHistory.java
@@ -178,7 +178,8 @@
     private List<EndpointRecord> decode(ObjectChanges endpoints) {
         List<EndpointRecord> decoded = new ArrayList<>();
         for (ObjectChanges.Change change : endpoints.changes()) {
-            decoded.add(reader.endpoint(change.entry().name(), change.entry().value()));
+            decoded.add(reader.endpoint(
+                    change.entry().name(), change.entry().value().parse()));
         }
         return decoded;
     }
--- a/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmupStore.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/warmup/JitWarmupStore.java
@@ -1,7 +1,6 @@
 package org.pimentovale.gateway.warmup;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.MissingNode;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
@@ -19,6 +18,7 @@
 import org.pimentovale.gateway.port.ObjectReader;
 import org.pimentovale.gateway.port.PendingWatch;
 import org.pimentovale.gateway.port.PlatformStore;
+import org.pimentovale.gateway.port.StoredContent;
 import org.pimentovale.kernel.directory.EndpointRecord;
 import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.quarantine.SuspectKey;
@@ -106,7 +106,7 @@
     }
 
     private ObjectEntry entry(String name) {
-        return new ObjectEntry(name, new StoreRevision(0, revision), Optional.empty(), MissingNode.getInstance());
+        return new ObjectEntry(name, new StoreRevision(0, revision), Optional.empty(), StoredContent.MISSING);
     }
 
     @Override
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/FeedFixture.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/FeedFixture.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.fasterxml.jackson.databind.node.MissingNode;
 import io.vertx.core.Context;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -16,6 +15,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
@@ -23,6 +23,7 @@
 import org.pimentovale.gateway.port.ObjectEntry;
 import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectPage;
+import org.pimentovale.gateway.port.StoredContent;
 import org.pimentovale.kernel.history.ContactRole;
 import org.pimentovale.kernel.history.StoreOutage;
 import org.pimentovale.kernel.history.StoreRevision;
@@ -39,6 +40,7 @@
     final BlockingQueue<String> received = new LinkedBlockingQueue<>();
 
     final List<StoreOutage> outages = new CopyOnWriteArrayList<>();
+    private final AtomicReference<Error> nextFailure = new AtomicReference<>();
     final ObjectFeed feed;
     private final Vertx vertx = Vertx.vertx();
     private final Context eventLoop = vertx.getOrCreateContext();
@@ -51,6 +53,10 @@
 
         @Override
         public void changed(ObjectEntry entry) {
+            Error failure = nextFailure.getAndSet(null);
+            if (failure != null) {
+                throw failure;
+            }
             received.add(entry.name());
         }
 
@@ -86,6 +92,11 @@
                 () -> role);
     }
 
+    /** Lets the listener fail when it receives the next change. */
+    void failNextChange(Error failure) {
+        nextFailure.set(failure);
+    }
+
     @Override
     public void close() {
         vertx.close();
@@ -136,7 +147,7 @@
     }
 
     static ObjectEntry entry(String name, long revision) {
-        return new ObjectEntry(name, new StoreRevision(0, revision), Optional.empty(), MissingNode.getInstance());
+        return new ObjectEntry(name, new StoreRevision(0, revision), Optional.empty(), StoredContent.MISSING);
     }
 
     /** Returns changes of revision 2. */
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/FeedOutageTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/FeedOutageTest.java
@@ -92,6 +92,33 @@
         }
     }
 
+    /** Guards against outages that are none: a full heap told all feeds of an unavailable store. */
+    @Nested
+    class WhenThereIsNoMemoryForAResponse {
+        @Test
+        void theStoreIsNotTakenForUnavailable() throws Exception {
+            HeldStore.Watch waiting = nextWatch();
+            fixture.runOnEventLoop(() -> waiting.response().fail(new OutOfMemoryError("heap")));
+            fixture.fail(nextWatch(), ErrorCode.MEMORY_EXHAUSTED);
+            HeldStore.Watch next = nextWatch();
+
+            assertThat(next.waitMs()).isEqualTo(FeedFixture.MAX_WAIT_MS);
+            fixture.answer(next, FeedFixture.changes("changed"));
+            assertThat(FeedFixture.take(fixture.received)).isEqualTo("changed");
+            assertThat(fixture.outages).isEmpty();
+        }
+
+        @Test
+        void theFeedGoesOnAfterAFailureOfItsListener() throws Exception {
+            fixture.failNextChange(new OutOfMemoryError("heap"));
+            fixture.answer(nextWatch(), FeedFixture.changes("changed"));
+            fixture.answer(nextWatch(), FeedFixture.changes("changed"));
+
+            assertThat(FeedFixture.take(fixture.received)).isEqualTo("changed");
+            assertThat(fixture.outages).isEmpty();
+        }
+    }
+
     @Nested
     class WhenAnotherFeedNoticesAnOutage {
         @Test
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/ObjectFeedTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.fasterxml.jackson.databind.node.MissingNode;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -25,6 +24,7 @@
 import org.pimentovale.gateway.port.ObjectPage;
 import org.pimentovale.gateway.port.PendingWatch;
 import org.pimentovale.gateway.port.PlatformStore;
+import org.pimentovale.gateway.port.StoredContent;
 import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.quarantine.SuspectKey;
 import org.pimentovale.kernel.stream.HistoryCheckpoint;
@@ -96,7 +96,7 @@
                 return PendingWatch.of(Promise.<ObjectChanges>promise().future());
             }
             ObjectEntry entry = new ObjectEntry(
-                    "name", new StoreRevision(0, revision + 1), Optional.empty(), MissingNode.getInstance());
+                    "name", new StoreRevision(0, revision + 1), Optional.empty(), StoredContent.MISSING);
             return PendingWatch.of(Future.succeededFuture(new ObjectChanges(
                     List.of(new ObjectChanges.Change(entry, false)), new StoreRevision(0, revision + 1))));
         }
--- a/model/src/main/java/org/pimentovale/error/ErrorCode.java
+++ b/model/src/main/java/org/pimentovale/error/ErrorCode.java
@@ -49,6 +49,7 @@
     OBJECT_DAMAGED(500, false, "The stored object cannot be read; the last good one stays in force."),
     OBJECT_TOO_LARGE(413, false, "A stored value holds at most one megabyte."),
     SETTINGS_INVALID(400, false, "Correct the settings file."),
+    MEMORY_EXHAUSTED(503, false, "This instance has no memory for the response now; try again."),
     HISTORY_LOST(410, false, "List the kind anew; the store has dropped part of its history."),
     PEER_UNAVAILABLE(503, false, "A peer gave no answer; the work is handed to another."),
     STAGE_FAILED(503, false, "A stage before the request could not be done; try again after the given time."),
--- a/model/src/main/java/org/pimentovale/json/JsonSlice.java
+++ b/model/src/main/java/org/pimentovale/json/JsonSlice.java
@@ -2,9 +2,14 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
 import org.pimentovale.error.ErrorCode;
 import org.pimentovale.error.ServingException;
 
@@ -14,6 +19,9 @@
  * thread safe.
  */
 public final class JsonSlice {
+    /** The length of a name that a reader asks for, with its quotes. */
+    private static final int MAX_KNOWN_NAME_BYTES = 64;
+
     private final byte[] text;
     private final int start;
     private final int end;
@@ -110,28 +118,51 @@
     }
 
     /**
-     * Splits an object as {@link #members} does, up to the first member that is malformed.
+     * Returns some members of an object without decoding their values. Of members with the same name, the first counts.
+     * The memory used does not depend on the other members.
      *
-     * @return the values by name, in their order
+     * @param names the names of the wanted members
+     * @return their values by name, without those that are missing
+     * @throws ServingException with {@link ErrorCode#MALFORMED_BODY} if the value is not an object
      */
-    public Map<String, JsonSlice> leadingMembers() {
-        Map<String, JsonSlice> members = new LinkedHashMap<>();
+    public Map<String, JsonSlice> members(Set<String> names) {
+        Map<String, JsonSlice> members = new HashMap<>();
+        collectMembers(names, members);
+        return members;
+    }
+
+    /**
+     * Returns some members of an object as {@link #members(Set)} does, up to the first member that is malformed.
+     *
+     * @param names the names of the wanted members
+     * @return their values by name
+     */
+    public Map<String, JsonSlice> leadingMembers(Set<String> names) {
+        Map<String, JsonSlice> members = new HashMap<>();
         try {
-            collectMembers(members);
+            collectMembers(names, members);
         } catch (ServingException malformed) {
             return members;
         }
         return members;
     }
 
+    private void collectMembers(Set<String> names, Map<String, JsonSlice> members) {
+        forEachMember((name, value) -> name.nameAmong(names).ifPresent(known -> members.putIfAbsent(known, value)));
+    }
+
     private void collectMembers(Map<String, JsonSlice> members) {
+        forEachMember((name, value) -> members.put(name.name(), value));
+    }
+
+    private void forEachMember(BiConsumer<JsonSlice, JsonSlice> member) {
         JsonScanner scanner = new JsonScanner(text, start, end);
         scanner.require('{');
         if (!scanner.skip('}')) {
             do {
-                String name = next(scanner).name();
+                JsonSlice name = next(scanner);
                 scanner.require(':');
-                members.put(name, next(scanner));
+                member.accept(name, next(scanner));
             } while (scanner.skip(','));
             scanner.require('}');
         }
@@ -158,6 +189,31 @@
         return elements;
     }
 
+    /** Returns the name that this text is, empty if it is none of the given ones. */
+    private Optional<String> nameAmong(Set<String> names) {
+        return length() > MAX_KNOWN_NAME_BYTES
+                ? Optional.empty()
+                : Optional.of(name()).filter(names::contains);
+    }
+
+    /**
+     * Returns the length of the value's text.
+     *
+     * @return the number of bytes
+     */
+    public int length() {
+        return end - start;
+    }
+
+    /**
+     * Returns a copy of the value's text.
+     *
+     * @return the JSON text in UTF-8
+     */
+    public byte[] copyText() {
+        return Arrays.copyOfRange(text, start, end);
+    }
+
     private String name() {
         JsonNode name = parse();
         if (!name.isTextual()) {
--- a/proof/src/test/java/org/pimentovale/proof/DaemonProcess.java
+++ b/proof/src/test/java/org/pimentovale/proof/DaemonProcess.java
@@ -14,6 +14,7 @@
 /** A Java program in a process of its own; tests can wait for lines of its output. */
 final class DaemonProcess implements AutoCloseable {
     private static final long AWAIT_TIMEOUT_MS = 20_000;
+    static final int DEFAULT_HEAP_MEGABYTES = 256;
 
     private final Process process;
     private final List<String> lines = new ArrayList<>();
@@ -26,9 +27,13 @@
     }
 
     static DaemonProcess start(Path directory, String mainClass, String... arguments) {
+        return start(DEFAULT_HEAP_MEGABYTES, directory, mainClass, arguments);
+    }
+
+    static DaemonProcess start(int heapMegabytes, Path directory, String mainClass, String... arguments) {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx256m",
+                "-Xmx" + heapMegabytes + "m",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
                 "-cp",
--- a/proof/src/test/java/org/pimentovale/proof/GatewayFleet.java
+++ b/proof/src/test/java/org/pimentovale/proof/GatewayFleet.java
@@ -113,6 +113,15 @@
 
     /** Starts a gateway that reaches its listener of the store by another port, and waits until it is ready. */
     GatewayProcess start(String name, IntUnaryOperator storeLink) {
+        return start(name, storeLink, DaemonProcess.DEFAULT_HEAP_MEGABYTES);
+    }
+
+    /** Starts a gateway with a heap of a size, and waits until it is ready. */
+    GatewayProcess start(String name, int heapMegabytes) {
+        return start(name, storePort -> storePort, heapMegabytes);
+    }
+
+    private GatewayProcess start(String name, IntUnaryOperator storeLink, int heapMegabytes) {
         Path settings = directory.resolve(name + ".toml");
         int storePort = await(store.start());
         try {
@@ -120,8 +129,8 @@
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
         }
-        DaemonProcess process =
-                DaemonProcess.start(directory, GatewayDaemon.class.getName(), "--settings", settings.toString());
+        DaemonProcess process = DaemonProcess.start(
+                heapMegabytes, directory, GatewayDaemon.class.getName(), "--settings", settings.toString());
         String started = process.awaitLine("event=gateway_started", "name=" + name + " ");
         GatewayProcess gateway = new GatewayProcess(
                 name,
--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
@@ -26,6 +26,7 @@
  */
 public final class FleetStoreStandIn {
     private static final int PAGE_SIZE = 50;
+    private static final int ANSWER_BYTES = 1_024 * 1_024;
     private static final int STATUS_UNAVAILABLE = 503;
     private static final String ERA_HEADER = "Store-Era";
 
@@ -389,30 +390,50 @@
         listedKinds.add(kind);
         JsonArray items = new JsonArray();
         Map<String, JsonObject> remaining = objects(kind).tailMap(after, after.isEmpty());
-        remaining.values().stream().limit(PAGE_SIZE).forEach(items::add);
+        List<JsonObject> objects = List.copyOf(remaining.values());
+        objects.stream().limit(withinAnswer(objects)).forEach(items::add);
         request.response()
                 .end(encode(new JsonObject()
                         .put("items", items)
-                        .put("hasMore", remaining.size() > PAGE_SIZE)
+                        .put("hasMore", objects.size() > items.size())
                         .put("currentRev", revision)));
     }
 
     private boolean completeWatchIfChanged(PendingWatch watch) {
         JsonArray events = new JsonArray();
-        history.stream()
+        List<Change> changes = history.stream()
                 .filter(change -> change.kind().equals(watch.kind()) && change.revision() > watch.sinceRevision())
-                .forEach(change -> events.add(
-                        new JsonObject().put("deleted", change.deleted()).put("object", change.object())));
-        if (events.isEmpty()) {
+                .toList();
+        if (changes.isEmpty()) {
             return false;
         }
+        int sent = withinAnswer(changes.stream().map(Change::object).toList());
+        changes.stream()
+                .limit(sent)
+                .forEach(change -> events.add(
+                        new JsonObject().put("deleted", change.deleted()).put("object", change.object())));
+        long known = sent < changes.size() ? changes.get(sent - 1).revision() : revision;
         pendingWatches.remove(watch);
         watch.request()
                 .response()
-                .end(encode(new JsonObject().put("events", events).put("currentRev", revision)));
+                .end(encode(new JsonObject().put("events", events).put("currentRev", known)));
         return true;
     }
 
+    /** Returns how many of the first objects one answer holds, at least one if there is any. */
+    private static int withinAnswer(List<JsonObject> objects) {
+        int bytes = 0;
+        int count = 0;
+        for (JsonObject object : objects) {
+            bytes += object.encode().length();
+            if (count == PAGE_SIZE || (count > 0 && bytes > ANSWER_BYTES)) {
+                break;
+            }
+            count++;
+        }
+        return count;
+    }
+
     private synchronized void expireWatch(PendingWatch watch) {
         if (pendingWatches.remove(watch)) {
             watch.request()
--- a/store/src/main/java/org/pimentovale/store/http/BodyLimit.java
+++ b/store/src/main/java/org/pimentovale/store/http/BodyLimit.java
@@ -1,6 +1,7 @@
 package org.pimentovale.store.http;
 
 import java.util.Optional;
+import org.pimentovale.error.ErrorCode;
 import org.pimentovale.kernel.history.SilenceLimit;
 
 /** How much of a response body a client holds in memory. Immutable and thread safe. */
@@ -33,6 +34,11 @@
             return Optional.of(new LongStringFilter(MAX_STRING_BYTES));
         }
 
+        @Override
+        ErrorCode shortageCode(ErrorCode failureCode) {
+            return ErrorCode.MEMORY_EXHAUSTED;
+        }
+
         @Override
         BusyLoopAllowance newAllowance(int timeoutMs) {
             return BusyLoopAllowance.of(timeoutMs);
@@ -40,6 +46,9 @@
     };
 
     private static final int MAX_STRING_BYTES = 64 * 1_024;
+    /** Clients of three kinds leave most of the heap to requests in progress. */
+    private static final int HEAP_PARTS = 16;
+
     private static final int UNFILTERED_BYTES = 1_024 * 1_024;
 
     private final int maxBytes;
@@ -63,8 +72,21 @@
         return BusyLoopAllowance.none();
     }
 
-    BoundedBody newBody() {
-        return new BoundedBody(this);
+    /**
+     * Returns the error code of a call for whose response there is no memory. Of another process it is a failure like
+     * any other; it does not make the store unavailable.
+     */
+    ErrorCode shortageCode(ErrorCode failureCode) {
+        return failureCode;
+    }
+
+    /** Creates the memory of the responses that a client receives at the same time. */
+    static ReceivedMemory newMemory() {
+        return new ReceivedMemory(Runtime.getRuntime().maxMemory() / HEAP_PARTS);
+    }
+
+    BoundedBody newBody(ReceivedMemory.Reservation reservation) {
+        return new BoundedBody(this, reservation);
     }
 
     /** Returns the length up to which a body is always held unchanged, in bytes. */
--- a/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
+++ b/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
@@ -49,6 +49,7 @@
     private final ErrorCode failureCode;
     private final BodyLimit bodyLimit;
     private final Optional<AtomicLong> lastCallId;
+    private final ReceivedMemory memory = BodyLimit.newMemory();
 
     /**
      * Creates a client for messages.
@@ -143,23 +144,30 @@
         Optional<String> callId = lastCallId.map(last -> Long.toString(last.incrementAndGet()));
         callId.ifPresent(identifier -> request.putHeader(CALL_ID, identifier));
         AtomicBoolean written = new AtomicBoolean();
+        ReceivedMemory.Reservation reservation = memory.newReservation();
         request.response()
                 .onSuccess(response -> timer.noteHead())
-                .compose(response -> read(response, callId, written, timer))
+                .compose(response -> read(response, callId, written, timer, reservation))
                 .onComplete(result -> {
                     if (result.succeeded()) {
                         promise.tryComplete(result.result());
                     } else {
                         promise.tryFail(toServingException(result.cause()));
                     }
-                });
+                })
+                .onComplete(handled -> reservation.release());
+        promise.future().onFailure(failure -> reservation.release());
         Future<Void> end =
                 httpCall.body().isPresent() ? request.end(httpCall.body().get()) : request.end();
         end.onSuccess(ended -> written.set(true));
     }
 
     private Future<HttpResponse> read(
-            HttpClientResponse response, Optional<String> callId, AtomicBoolean written, CallTimer timer) {
+            HttpClientResponse response,
+            Optional<String> callId,
+            AtomicBoolean written,
+            CallTimer timer,
+            ReceivedMemory.Reservation reservation) {
         if (!FinalStatus.isValid(response.statusCode())) {
             return Future.failedFuture(
                     ServingException.unknown(failureCode, "invalid status " + response.statusCode()));
@@ -168,7 +176,7 @@
             return Future.failedFuture(
                     ServingException.unknown(failureCode, "the response belongs to an earlier call on the connection"));
         }
-        return readBody(response, written, timer);
+        return readBody(response, written, timer, reservation);
     }
 
     /** Tells whether a response is that of a call. One without identifier is from a server that returns none. */
@@ -177,19 +185,23 @@
         return callId.isEmpty() || returned == null || returned.equals(callId.get());
     }
 
-    private Future<HttpResponse> readBody(HttpClientResponse response, AtomicBoolean written, CallTimer timer) {
+    private Future<HttpResponse> readBody(
+            HttpClientResponse response,
+            AtomicBoolean written,
+            CallTimer timer,
+            ReceivedMemory.Reservation reservation) {
         BodyFraming framing = framingOf(response);
         if (bodyLimit.needsMarkedEnd() && !framing.marksEnd()) {
             return Future.failedFuture(
                     ServingException.unknown(failureCode, "nothing but the connection marks the end of the body"));
         }
         Promise<HttpResponse> complete = Promise.promise();
-        BoundedBody body = bodyLimit.newBody();
+        BoundedBody body = bodyLimit.newBody(reservation);
         response.handler(part -> {
             timer.noteBytes();
-            if (!body.append(part)) {
-                complete.tryFail(
-                        ServingException.unknown(failureCode, "body exceeds " + bodyLimit.maxBytes() + " bytes"));
+            BoundedBody.Outcome outcome = append(body, part);
+            if (outcome != BoundedBody.Outcome.APPENDED) {
+                complete.tryFail(refusal(outcome));
             }
         });
         response.exceptionHandler(complete::tryFail);
@@ -204,6 +216,20 @@
         return complete.future();
     }
 
+    private static BoundedBody.Outcome append(BoundedBody body, Buffer part) {
+        try {
+            return body.append(part);
+        } catch (OutOfMemoryError shortage) {
+            return BoundedBody.Outcome.NO_MEMORY;
+        }
+    }
+
+    private ServingException refusal(BoundedBody.Outcome outcome) {
+        return outcome == BoundedBody.Outcome.TOO_LONG
+                ? ServingException.unknown(failureCode, "body exceeds " + bodyLimit.maxBytes() + " bytes")
+                : ServingException.unknown(bodyLimit.shortageCode(failureCode), "no memory for the response");
+    }
+
     /** Judges the end of a response. Of a failure the status is enough, and it must not be lost with the body. */
     private static ResponseEnd judge(int status, BodyFraming framing, boolean requestWritten, Buffer body) {
         return status < FIRST_STATUS_BEYOND_SUCCESS
@@ -221,6 +247,9 @@
     }
 
     private ServingException toServingException(Throwable cause) {
+        if (cause instanceof OutOfMemoryError) {
+            return ServingException.unknown(bodyLimit.shortageCode(failureCode), cause.getMessage());
+        }
         return cause instanceof ServingException failure
                 ? failure
                 : ServingException.unknown(failureCode, String.valueOf(cause.getMessage()));
--- a/store/src/test/java/org/pimentovale/store/http/BoundedBodyTest.java
+++ b/store/src/test/java/org/pimentovale/store/http/BoundedBodyTest.java
@@ -14,7 +14,8 @@
 
     private static boolean appendAll(BoundedBody body, Buffer whole, int partBytes) {
         for (int start = 0; start < whole.length(); start += partBytes) {
-            if (!body.append(whole.slice(start, Math.min(whole.length(), start + partBytes)))) {
+            Buffer part = whole.slice(start, Math.min(whole.length(), start + partBytes));
+            if (body.append(part) != BoundedBody.Outcome.APPENDED) {
                 return false;
             }
         }
@@ -23,7 +24,8 @@
 
     @Nested
     class OfStoredObjects {
-        private final BoundedBody body = BodyLimit.STORED_OBJECTS.newBody();
+        private final BoundedBody body =
+                BodyLimit.STORED_OBJECTS.newBody(BodyLimit.newMemory().newReservation());
 
         @Test
         void keepsShortStringsBesideLongOnes() {
@@ -79,12 +81,35 @@
     class OfShortResponses {
         @Test
         void endsAtItsLimit() {
-            BoundedBody body = BodyLimit.SHORT_RESPONSES.newBody();
+            BoundedBody body =
+                    BodyLimit.SHORT_RESPONSES.newBody(BodyLimit.newMemory().newReservation());
 
             assertThat(appendAll(body, Buffer.buffer("x".repeat(256 * KIB)), KIB))
                     .isTrue();
-            assertThat(body.append(Buffer.buffer("x"))).isFalse();
+            assertThat(body.append(Buffer.buffer("x"))).isEqualTo(BoundedBody.Outcome.TOO_LONG);
             assertThat(body.content().length()).isEqualTo(256 * KIB);
         }
     }
+
+    /** Guards against responses that fill the heap together, although each keeps its limit. */
+    @Nested
+    class BodiesReceivedAtTheSameTime {
+        private static final int CAPACITY_BYTES = 3_000;
+
+        private final ReceivedMemory memory = new ReceivedMemory(CAPACITY_BYTES);
+
+        private BoundedBody.Outcome append(ReceivedMemory.Reservation reservation, int bytes) {
+            return BodyLimit.MESSAGES.newBody(reservation).append(Buffer.buffer(new byte[bytes]));
+        }
+
+        @Test
+        void shareOneMemory() {
+            ReceivedMemory.Reservation first = memory.newReservation();
+
+            assertThat(append(first, 2_000)).isEqualTo(BoundedBody.Outcome.APPENDED);
+            assertThat(append(memory.newReservation(), 2_000)).isEqualTo(BoundedBody.Outcome.NO_MEMORY);
+            first.release();
+            assertThat(append(memory.newReservation(), 2_000)).isEqualTo(BoundedBody.Outcome.APPENDED);
+        }
+    }
 }
