Store lists: nothing is read from behind the beginning of an object that cannot be read

Cause: a page that was not balanced was split wherever something looked like an object, also within the unreadable bytes; brackets were only counted. Now a page counts up to the first object whose end is not certain, and the store itself begins the next one with the object that follows; members around the list are read where no object can be; a listed write that precedes a removal of which a change told is not believed. A page that can be read costs no call.

--- a/gateway/src/main/java/org/pimentovale/gateway/feed/FeedObjects.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/FeedObjects.java
@@ -59,6 +59,14 @@
         select(listed, verdict.reappeared()).forEach(listener::reappeared);
     }
 
+    /** Tells whether this state of an object is in force, and its content could be read. */
+    boolean isKnown(ObjectEntry entry) {
+        return entries.get(entry.name())
+                .filter(inForce -> inForce.revision().equals(entry.revision()))
+                .filter(inForce -> !inForce.value().isRejected())
+                .isPresent();
+    }
+
     private static List<ObjectEntry> select(List<ObjectEntry> listed, Set<String> names) {
         return listed.stream().filter(entry -> names.contains(entry.name())).toList();
     }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -296,9 +296,11 @@
     }
 
     private void handlePage(PartialList listed, ObjectPage page) {
-        if (!listed.add(page)) {
+        if (!listed.add(page, objects::isKnown)) {
             handleFailure(historyLost("the store was restored between two pages of a list"));
-        } else if (page.hasMore() && !page.entries().isEmpty()) {
+        } else if (page.hasMore() && page.entries().isEmpty()) {
+            handleFailure(outdated("a page names no object after which the list goes on"));
+        } else if (page.hasMore()) {
             list(listed);
         } else if (listed.revision().precedes(history.revision())) {
             refuse(listed);
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/PartialList.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/PartialList.java
@@ -1,8 +1,10 @@
 package org.pimentovale.gateway.feed;
 
-import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.pimentovale.gateway.port.ObjectEntry;
 import org.pimentovale.gateway.port.ObjectPage;
 import org.pimentovale.kernel.history.StoreRevision;
@@ -14,12 +16,13 @@
  * <p>The list is complete up to the revision of its first page: of what changed later, objects of pages that had been
  * received already show nothing.
  *
- * <p>Invariants: all pages belong to the same era of the store; the content of all entries fits the budget. Not thread
+ * <p>Invariants: each name occurs once; all pages belong to the same era of the store; the content of all entries fits the budget. Not thread
  * safe; used on one event loop.
  */
 final class PartialList {
     private final ContentBudget budget;
-    private final List<ObjectEntry> entries = new ArrayList<>();
+    private final Map<String, ObjectEntry> entries = new LinkedHashMap<>();
+    private Optional<String> lastName = Optional.empty();
     private StoreRevision revision = StoreRevision.NONE;
     private long contentBytes;
     private int droppedContents;
@@ -33,45 +36,65 @@
         this.budget = budget;
     }
 
-    /** Adds the next page; returns false if the store was restored since the previous one. */
-    boolean add(ObjectPage page) {
+    /**
+     * Adds the next page, as far as it is certain.
+     *
+     * @param page the page
+     * @param known tells whether the content of an object is known, so that it ends where it seems to end
+     * @return whether the page is of the era of the previous one
+     */
+    boolean add(ObjectPage page, Predicate<ObjectEntry> known) {
         if (revision.equals(StoreRevision.NONE)) {
             revision = page.revision();
         }
-        entries.addAll(page.entries());
-        contentBytes += page.entries().stream()
-                .mapToLong(entry -> entry.value().bytes())
-                .sum();
+        certainEntries(page, known).forEach(this::add);
         if (budget.isExceededBy(contentBytes)) {
             dropLongestContents();
         }
         return revision.era() == page.revision().era();
     }
 
+    private static List<ObjectEntry> certainEntries(ObjectPage page, Predicate<ObjectEntry> known) {
+        if (page.certain()) {
+            return page.entries();
+        }
+        long knownCount = page.entries().stream().takeWhile(known).count();
+        return page.entries().stream().limit(knownCount + 1).toList();
+    }
+
+    /** Adds an entry. Of two with the same name, one is a copy within the bytes of another object, and is older. */
+    private void add(ObjectEntry entry) {
+        lastName = Optional.of(entry.name());
+        ObjectEntry other = entries.get(entry.name());
+        if (other != null && entry.revision().precedes(other.revision())) {
+            return;
+        }
+        contentBytes +=
+                entry.value().bytes() - (other == null ? 0 : other.value().bytes());
+        entries.put(entry.name(), entry);
+    }
+
     private void dropLongestContents() {
         int longestKept = budget.longestKept(
-                entries.stream().map(entry -> entry.value().bytes()).toList());
-        contentBytes = 0;
-        for (int index = 0; index < entries.size(); index++) {
-            ObjectEntry entry = entries.get(index);
+                entries.values().stream().map(entry -> entry.value().bytes()).toList());
+        for (ObjectEntry entry : entries()) {
             if (entry.value().bytes() > longestKept) {
-                entries.set(index, entry.withoutContent());
+                entries.put(entry.name(), entry.withoutContent());
                 droppedContents++;
-            } else {
-                contentBytes += entry.value().bytes();
             }
         }
+        contentBytes = entries.values().stream()
+                .mapToLong(entry -> entry.value().bytes())
+                .sum();
     }
 
     /** Returns the name after which the next page starts, empty for the first page. */
     Optional<String> lastName() {
-        return entries.isEmpty()
-                ? Optional.empty()
-                : Optional.of(entries.get(entries.size() - 1).name());
+        return lastName;
     }
 
     List<ObjectEntry> entries() {
-        return entries;
+        return List.copyOf(entries.values());
     }
 
     /** Returns how many entries lost their content for want of memory. */
--- a/gateway/src/main/java/org/pimentovale/gateway/port/ObjectPage.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ObjectPage.java
@@ -9,10 +9,24 @@
  * @param entries the objects on this page
  * @param hasMore whether the list continues after the last entry
  * @param revision the store revision of the response
+ * @param certain whether the bounds of all objects are certain. If not, one of them holds bytes that cannot be read and
+ *     may contain anything, also what looks like the objects that follow on this page; only the beginning of the first
+ *     object is certain, and that of each object that follows one whose content is known
  */
-public record ObjectPage(List<ObjectEntry> entries, boolean hasMore, StoreRevision revision) {
+public record ObjectPage(List<ObjectEntry> entries, boolean hasMore, StoreRevision revision, boolean certain) {
     /** Copies the list. */
     public ObjectPage {
         entries = List.copyOf(entries);
     }
+
+    /**
+     * Creates a page whose objects can all be read.
+     *
+     * @param entries the objects on this page
+     * @param hasMore whether the list continues after the last entry
+     * @param revision the store revision of the response
+     */
+    public ObjectPage(List<ObjectEntry> entries, boolean hasMore, StoreRevision revision) {
+        this(entries, hasMore, revision, true);
+    }
 }
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/ContentMemoryTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/ContentMemoryTest.java
@@ -28,7 +28,7 @@
         private final PartialList listed = new PartialList(BUDGET);
 
         private boolean add(ObjectEntry... entries) {
-            return listed.add(new ObjectPage(List.of(entries), true, REVISION));
+            return listed.add(new ObjectPage(List.of(entries), true, REVISION), entry -> false);
         }
 
         @Test
--- a/kernel/src/main/java/org/pimentovale/kernel/history/ObjectHistory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/history/ObjectHistory.java
@@ -38,6 +38,9 @@
     private final long retentionMs;
     private final Map<String, ObjectWrite> present = new LinkedHashMap<>();
     private final Map<String, ObjectWrite> removed = new LinkedHashMap<>();
+    /** The removed objects of whose removal a change told. A list may miss an object that a later one names again. */
+    private final Set<String> removedByChange = new HashSet<>();
+
     private StoreRevision revision = StoreRevision.NONE;
     private boolean settling;
     private boolean writersExpected;
@@ -106,10 +109,13 @@
         Set<String> reappeared = new HashSet<>();
         Set<String> unlisted = new HashSet<>(present.keySet());
         for (ObjectWrite write : listed) {
+            if (precedesRemoval(write)) {
+                continue;
+            }
             unlisted.remove(write.name());
             if (staysRemoved(write)) {
                 reappeared.add(write.name());
-            } else if (isOlderThanKnown(write)) {
+            } else if (isOlderThanKnown(write) || precedesKnown(write)) {
                 retained.add(write.name());
             } else {
                 recordPresent(write);
@@ -159,6 +165,18 @@
                 && write.revision().precedes(known.revision());
     }
 
+    /**
+     * Tells whether a change told that the object was removed after this write, in the same era. The store cannot state
+     * the write any more; a copy of an earlier statement within the content of another object can.
+     */
+    private boolean precedesRemoval(ObjectWrite write) {
+        ObjectWrite removal = removed.get(write.name());
+        return removal != null
+                && removedByChange.contains(write.name())
+                && removal.revision().era() == write.revision().era()
+                && !removal.revision().precedes(write.revision());
+    }
+
     private boolean isOlderThanKnown(ObjectWrite write) {
         return isOlder(write, present.get(write.name()));
     }
@@ -196,7 +214,10 @@
      * @return whether the new state is believed; if not, the previous one stays in force
      */
     public boolean acceptChange(ObjectWrite write) {
-        if (precedesKnown(write) || isOlderThanKnown(write) || isOlder(write, removed.get(write.name()))) {
+        if (precedesKnown(write)
+                || precedesRemoval(write)
+                || isOlderThanKnown(write)
+                || isOlder(write, removed.get(write.name()))) {
             return false;
         }
         recordPresent(write);
@@ -214,6 +235,7 @@
             return false;
         }
         recordRemoved(lastWrite);
+        removedByChange.add(lastWrite.name());
         return true;
     }
 
@@ -304,7 +326,7 @@
         ObjectWrite previous = present.get(write.name());
         Optional<WriteStamp> stamp =
                 write.stamp().or(() -> Optional.ofNullable(previous).flatMap(ObjectWrite::stamp));
-        removed.remove(write.name());
+        forgetRemoval(write.name());
         present.put(write.name(), new ObjectWrite(write.name(), write.revision(), stamp));
     }
 
@@ -312,13 +334,18 @@
         ObjectWrite known = present.remove(lastWrite.name());
         Optional<WriteStamp> stamp =
                 lastWrite.stamp().or(() -> Optional.ofNullable(known).flatMap(ObjectWrite::stamp));
-        removed.remove(lastWrite.name());
+        forgetRemoval(lastWrite.name());
         removed.put(lastWrite.name(), new ObjectWrite(lastWrite.name(), revisionOfRemoval(lastWrite), stamp));
         if (removed.size() > MAX_REMOVED_OBJECTS) {
-            removed.remove(removed.keySet().iterator().next());
+            forgetRemoval(removed.keySet().iterator().next());
         }
     }
 
+    private void forgetRemoval(String name) {
+        removed.remove(name);
+        removedByChange.remove(name);
+    }
+
     /** Returns the revision up to which a restored store may still list the removed object. */
     private StoreRevision revisionOfRemoval(ObjectWrite removal) {
         return removal.revision().precedes(revision) ? revision : removal.revision();
--- a/kernel/src/test/java/org/pimentovale/kernel/history/ObjectHistoryTest.java
+++ b/kernel/src/test/java/org/pimentovale/kernel/history/ObjectHistoryTest.java
@@ -51,6 +51,21 @@
             assertThat(list(1, 7, 0, plain(1, 2)).accepted()).containsExactly("plain");
         }
 
+        /** Guards against objects that come back because a copy of an earlier list is taken for a list. */
+        @Test
+        void ignoresListedWritesThatPrecedeAKnownRemovalOrWrite() {
+            list(1, 5, 0, plain(1, 2), stamped(1, 4, 0, 1));
+            history.acceptRemoval(plain(1, 2));
+            history.acceptChange(stamped(1, 6, 0, 2));
+
+            ListVerdict verdict = list(1, 8, 0, plain(1, 2), stamped(1, 4, 0, 1));
+
+            assertThat(verdict.accepted()).isEmpty();
+            assertThat(verdict.retained()).containsExactly("stamped");
+            assertThat(history.acceptChange(plain(1, 2))).isFalse();
+            assertThat(list(1, 9, 0, plain(1, 9)).accepted()).containsExactly("plain");
+        }
+
         @Test
         void ignoresChangesThatPrecedeAListedWrite() {
             list(1, 5, 0, plain(1, 8));
--- a/model/src/main/java/org/pimentovale/json/JsonSlice.java
+++ b/model/src/main/java/org/pimentovale/json/JsonSlice.java
@@ -55,17 +55,15 @@
     }
 
     /**
-     * Creates a slice of the value that starts at a position.
+     * Creates a slice of the value that starts at a position, whose names, commas and brackets are checked.
      *
      * @param text JSON text in UTF-8, which is not copied
-     * @param start the position of the value's first byte
+     * @param start the position of the value's first byte, or of whitespace before it
      * @return the slice
-     * @throws ServingException with {@link ErrorCode#MALFORMED_BODY} if the value does not end
+     * @throws ServingException with {@link ErrorCode#MALFORMED_BODY} if no value of the grammar starts there
      */
-    public static JsonSlice startingAt(byte[] text, int start) {
-        JsonScanner scanner = new JsonScanner(text, start, text.length);
-        scanner.skipValue();
-        return new JsonSlice(text, start, scanner.position());
+    public static JsonSlice wellFormedAt(byte[] text, int start) {
+        return new JsonSlice(text, start, JsonGrammar.endOfValue(text, start, text.length));
     }
 
     /**
@@ -118,37 +116,39 @@
     }
 
     /**
-     * Returns some members of an object without decoding their values. Of members with the same name, the first counts.
-     * The memory used does not depend on the other members.
+     * Returns some members of an object without decoding their values. The memory used does not depend on the other
+     * members.
      *
      * @param names the names of the wanted members
      * @return their values by name, without those that are missing
-     * @throws ServingException with {@link ErrorCode#MALFORMED_BODY} if the value is not an object
+     * @throws ServingException with {@link ErrorCode#MALFORMED_BODY} if the value is not an object, or if a wanted
+     *     member occurs twice
      */
     public Map<String, JsonSlice> members(Set<String> names) {
         Map<String, JsonSlice> members = new HashMap<>();
-        collectMembers(names, members);
+        forEachMember((name, value) -> name.nameAmong(names).ifPresent(known -> {
+            if (members.put(known, value) != null) {
+                throw ServingException.notRun(ErrorCode.MALFORMED_BODY, known + " occurs twice");
+            }
+        }));
         return members;
     }
 
     /**
-     * Returns some members of an object as {@link #members(Set)} does, up to the first member that is malformed.
+     * Returns the first member of an object, also if what follows it is malformed.
      *
-     * @param names the names of the wanted members
-     * @return their values by name
+     * @param name the name of the member
+     * @return its value, empty if the first member has another name
+     * @throws ServingException with {@link ErrorCode#MALFORMED_BODY} if the value does not begin like an object, or its
+     *     first member is malformed
      */
-    public Map<String, JsonSlice> leadingMembers(Set<String> names) {
-        Map<String, JsonSlice> members = new HashMap<>();
-        try {
-            collectMembers(names, members);
-        } catch (ServingException malformed) {
-            return members;
-        }
-        return members;
-    }
-
-    private void collectMembers(Set<String> names, Map<String, JsonSlice> members) {
-        forEachMember((name, value) -> name.nameAmong(names).ifPresent(known -> members.putIfAbsent(known, value)));
+    public Optional<JsonSlice> firstMember(String name) {
+        JsonScanner scanner = new JsonScanner(text, start, end);
+        scanner.require('{');
+        JsonSlice first = next(scanner);
+        scanner.require(':');
+        JsonSlice value = wellFormedAt(text, scanner.startOfValue());
+        return first.nameAmong(Set.of(name)).map(known -> value);
     }
 
     private void collectMembers(Map<String, JsonSlice> members) {
@@ -205,6 +205,15 @@
         return end - start;
     }
 
+    /**
+     * Tells whether the value may hold others.
+     *
+     * @return whether it is an object or an array
+     */
+    public boolean isContainer() {
+        return start < end && (text[start] == '{' || text[start] == '[');
+    }
+
     /**
      * Returns a copy of the value's text.
      *
@@ -214,7 +223,8 @@
         return Arrays.copyOfRange(text, start, end);
     }
 
-    private String name() {
+    /** Returns the name that this text is. */
+    String name() {
         JsonNode name = parse();
         if (!name.isTextual()) {
             throw ServingException.notRun(ErrorCode.MALFORMED_BODY, "a member's name is not a string");
