Unframed responses: the withdrawal of a zone announces no end of an endpoint

Cause: whether the endpoint still runs was asked only of usable endpoints, and one in a withdrawn zone is not usable, though nothing announces its end. Evidence: UnmarkedEndTest.isNoEndOfAStreamOrBodyWhileItsZoneIsWithdrawn, red on the untouched code. Now only endpoints that drain, leave or are gone may end without being asked.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/EndpointSender.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/EndpointSender.java
@@ -83,13 +83,13 @@
         }
     }
 
-    /** Tells whether an endpoint has ended that is listed as ready and has not said that it leaves. */
+    /** Tells whether an endpoint has ended that is listed as ready and has not said that it leaves, in any zone. */
     Future<Boolean> endedUnannounced(EndpointCall call) {
         EndpointRecord target = call.endpoint().latest();
         boolean expected = tables.endpoints()
                 .find(target.identifier())
-                .filter(tables.endpoints()::isUsable)
-                .isEmpty();
+                .map(tables.endpoints()::announcesEnd)
+                .orElse(true);
         return expected ? Future.succeededFuture(false) : services.probe().refuses(target.address());
     }
 
--- a/kernel/src/main/java/org/pimentovale/kernel/directory/Availability.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/Availability.java
@@ -3,28 +3,30 @@
 /** Whether an endpoint may get a request now, and if not, why. */
 public enum Availability {
     /** The endpoint may get a request. */
-    AVAILABLE(true),
+    AVAILABLE(true, false),
     /** The platform does not list the endpoint any more. */
-    REMOVED(false),
+    REMOVED(false, true),
     /** The platform lists the endpoint as draining. */
-    DRAINING(false),
+    DRAINING(false, true),
     /** The endpoint said in a response that it is leaving. */
-    LEAVING(false),
+    LEAVING(false, true),
     /** The endpoint's availability zone is withdrawn. */
-    ZONE_WITHDRAWN(false),
+    ZONE_WITHDRAWN(false, false),
     /** The endpoint refused a request and named a delay that has not passed. */
-    THROTTLED(true),
+    THROTTLED(true, false),
     /** The endpoint takes requests again after a delay, and as many as it may get at first are running. */
-    SLOW_START(true),
+    SLOW_START(true, false),
     /** No permit is expected within the rate limit that the endpoint named. */
-    RATE_LIMITED(true),
+    RATE_LIMITED(true, false),
     /** The endpoint is cold and this instance has used its part of the rate that it tolerates. */
-    COLD_LIMITED(true);
+    COLD_LIMITED(true, false);
 
     private final boolean serving;
+    private final boolean announcesEnd;
 
-    Availability(boolean serving) {
+    Availability(boolean serving, boolean announcesEnd) {
         this.serving = serving;
+        this.announcesEnd = announcesEnd;
     }
 
     /**
@@ -35,4 +37,13 @@
     public boolean serving() {
         return serving;
     }
+
+    /**
+     * Tells whether the endpoint itself is about to end. The withdrawal of its availability zone says nothing of that.
+     *
+     * @return whether the end of its process is no crash
+     */
+    public boolean announcesEnd() {
+        return announcesEnd;
+    }
 }
--- a/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/directory/EndpointDirectory.java
@@ -213,6 +213,16 @@
         return listedAvailability(endpoint).serving();
     }
 
+    /**
+     * Tells whether an endpoint is about to end, so that the end of its process is no crash.
+     *
+     * @param endpoint a current or former endpoint of this directory
+     * @return whether it is draining, leaving or removed
+     */
+    public boolean announcesEnd(EndpointState endpoint) {
+        return listedAvailability(endpoint).announcesEnd();
+    }
+
     /**
      * Tells whether an endpoint may get a request now, as far as the platform's list and the endpoint's own responses
      * decide that.
