Request bodies: a refused upload is not held, and growth is reserved

Cause: a refused or ended request returned its reservation, but its buffer stayed referenced until the caller had sent the rest, and buffers grew to twice what was reserved. Evidence: RequestBodyTest, three cases red on the untouched code (content still 40 bytes after the refusal; 33 bytes reserved where the buffer grows to 44). The assertion on a refused body asks for an empty one now, which is stricter.

--- a/gateway/src/main/java/org/pimentovale/gateway/caller/CallerListener.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/CallerListener.java
@@ -214,7 +214,7 @@
                 http.method(),
                 http.uri(),
                 http.headers(),
-                body.content(),
+                body::content,
                 routed,
                 arrivedMs,
                 arrivedMs + Math.min(callerTimeoutMs, routed.route().timeoutMs()));
@@ -233,6 +233,9 @@
         execution.awaitBody();
         body.reserveAnnounced().ifPresent(execution::fail);
         http.handler(part -> body.add(part).ifPresent(execution::fail));
-        http.endHandler(ended -> execution.start());
+        http.endHandler(ended -> {
+            body.complete();
+            execution.start();
+        });
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/caller/CallerRequest.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/caller/CallerRequest.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpMethod;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.pimentovale.gateway.port.CallerAttempt;
 import org.pimentovale.hash.Sha256;
 import org.pimentovale.kernel.placement.PromptPart;
@@ -19,7 +20,7 @@
  * @param method the HTTP method
  * @param uri path and query, as the caller sent them
  * @param headers the caller's headers
- * @param body the body, empty if the request has none; it is filled while the request is being read
+ * @param content returns what is received of the body, empty if the request has none
  * @param routed the route, the service and the workspace
  * @param arrivedMs the time when the head was received, in milliseconds of the monotonic clock
  * @param deadlineMs the earlier of the caller's deadline and the route's timeout, in milliseconds of the same clock
@@ -29,10 +30,19 @@
         HttpMethod method,
         String uri,
         MultiMap headers,
-        Optional<Buffer> body,
+        Supplier<Optional<Buffer>> content,
         RoutedRequest routed,
         long arrivedMs,
         long deadlineMs) {
+    /**
+     * Returns the body, which is whole once the request has been read.
+     *
+     * @return what is received of the body, empty if the request has none
+     */
+    public Optional<Buffer> body() {
+        return content.get();
+    }
+
     /**
      * Tells whether the response is a stream of events.
      *
@@ -67,7 +77,7 @@
      */
     public long workSize() {
         return attempt.prompt().isEmpty()
-                ? body.map(Buffer::length).orElse(0)
+                ? body().map(Buffer::length).orElse(0)
                 : attempt.prompt().stream().mapToLong(PromptPart::tokens).sum();
     }
 
@@ -80,7 +90,7 @@
         String head = method + " " + uri + " " + attempt.key().orElse("") + "\n";
         return Sha256.hex(
                 head.getBytes(StandardCharsets.UTF_8),
-                body.map(Buffer::getBytes).orElse(new byte[0]));
+                body().map(Buffer::getBytes).orElse(new byte[0]));
     }
 
     /**
--- a/gateway/src/test/java/org/pimentovale/gateway/caller/RequestBodyTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/caller/RequestBodyTest.java
@@ -58,7 +58,20 @@
             assertThat(body.add(bytes(40))).isEmpty();
             assertRefused(body.add(bytes(40)), ErrorCode.OVERLOADED);
             assertThat(body.add(bytes(40))).isEmpty();
-            assertThat(body.content().get().length()).isEqualTo(40);
+            assertThat(body.content().get().length()).isEqualTo(0);
+            assertThat(memory.reservedBytes()).isEqualTo(100);
+        }
+
+        /** Guards against a buffer that stays referenced while the caller goes on sending. */
+        @Test
+        void aBodyWhoseRequestEndsEarlyIsNotHeld() {
+            RequestBody body = chunked();
+            body.add(bytes(40));
+            body.release();
+
+            assertThat(body.add(bytes(40))).isEmpty();
+            assertThat(body.content().get().length()).isEqualTo(0);
+            assertThat(memory.reservedBytes()).isEqualTo(0);
         }
 
         @Test
@@ -84,6 +97,18 @@
             assertThat(memory.reservedBytes()).isEqualTo(100);
         }
 
+        /** Guards against buffers that take up to twice the reserved memory as they grow. */
+        @Test
+        void reservesWhatItsBufferGrowsTo() {
+            RequestBody body = chunked();
+
+            for (int reservedBytes : new int[] {11, 22, 44, 44, 88, 88, 88, 88, 100}) {
+                assertThat(body.add(bytes(11))).isEmpty();
+                assertThat(memory.reservedBytes()).isEqualTo(reservedBytes);
+            }
+            assertThat(body.content().get().length()).isEqualTo(99);
+        }
+
         @Test
         void aboveTheConfiguredLengthIsRefused() {
             assertRefused(announced(101).reserveAnnounced(), ErrorCode.BODY_TOO_LARGE);
