Operators' tool: lists go on after an uncertain page; failures of a feed have a class of their own

The tool did not compile since the content of objects is text, and it read entries of uncertain pages and one page of the configuration only. ObjectFeed loses the recording of failures to FeedFailures.

--- a/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/ObjectFeed.java
@@ -60,6 +60,7 @@
     private final ObjectHistory history;
     private final ChangeCoverage coverage;
     private final FeedConfirmations confirmations;
+    private final FeedFailures failures;
     private final FeedWaits waits;
     private final ContentBudget budget;
     private final FeedObjects objects;
@@ -134,6 +135,7 @@
         this.coverage = new ChangeCoverage(timing.maxWaitMs() + RESPONSE_MARGIN_MS);
         this.confirmations = new FeedConfirmations(vertx, clock.monotonic(), this::check);
         this.waits = new FeedWaits(timing, role);
+        this.failures = new FeedFailures(contact, waits, confirmations, clock, log);
         this.budget = budgetOf(kind);
         this.objects = new FeedObjects(kind, history, listener, clock.monotonic(), log, budget);
     }
@@ -460,33 +462,7 @@
 
     private void handleFailure(Throwable cause) {
         waitingLong = false;
-        ServingException failure = ServingException.of(cause);
-        if (isOwnShortage(cause, failure)) {
-            retryAfterShortage(failure);
-            return;
-        }
-        boolean historyLost = failure.code() == ErrorCode.HISTORY_LOST;
-        if (historyLost) {
-            log.warn("history_lost", history.revision());
-        } else {
-            confirmations.fail(failure);
-            waits.recordFailure(clock.read());
-        }
-        if (!historyLost && contact.recordFailure(waits.reporterHeardMs())) {
-            log.warn("store_unavailable", history.revision(), "failure", failure.getMessage());
-        }
-        retryLater(historyLost);
-    }
-
-    /** Tells whether this process had no memory for a response, which says nothing of the store. */
-    private static boolean isOwnShortage(Throwable cause, ServingException failure) {
-        return cause instanceof OutOfMemoryError || failure.code() == ErrorCode.MEMORY_EXHAUSTED;
-    }
-
-    private void retryAfterShortage(ServingException failure) {
-        log.warn("response_without_memory", history.revision(), "failure", failure.getMessage());
-        confirmations.fail(failure);
-        retryLater(false);
+        retryLater(failures.record(cause, history.revision()));
     }
 
     private void retryLater(boolean historyLost) {
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/PartialList.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/PartialList.java
@@ -16,8 +16,8 @@
  * <p>The list is complete up to the revision of its first page: of what changed later, objects of pages that had been
  * received already show nothing.
  *
- * <p>Invariants: each name occurs once; all pages belong to the same era of the store; the content of all entries fits the budget. Not thread
- * safe; used on one event loop.
+ * <p>Invariants: each name occurs once; all pages belong to the same era of the store; the content of all entries fits
+ * the budget. Not thread safe; used on one event loop.
  */
 final class PartialList {
     private final ContentBudget budget;
@@ -47,21 +47,13 @@
         if (revision.equals(StoreRevision.NONE)) {
             revision = page.revision();
         }
-        certainEntries(page, known).forEach(this::add);
+        page.certainEntries(known).forEach(this::add);
         if (budget.isExceededBy(contentBytes)) {
             dropLongestContents();
         }
         return revision.era() == page.revision().era();
     }
 
-    private static List<ObjectEntry> certainEntries(ObjectPage page, Predicate<ObjectEntry> known) {
-        if (page.certain()) {
-            return page.entries();
-        }
-        long knownCount = page.entries().stream().takeWhile(known).count();
-        return page.entries().stream().limit(knownCount + 1).toList();
-    }
-
     /** Adds an entry. Of two with the same name, one is a copy within the bytes of another object, and is older. */
     private void add(ObjectEntry entry) {
         lastName = Optional.of(entry.name());
--- a/gateway/src/main/java/org/pimentovale/gateway/port/ObjectPage.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/port/ObjectPage.java
@@ -1,6 +1,7 @@
 package org.pimentovale.gateway.port;
 
 import java.util.List;
+import java.util.function.Predicate;
 import org.pimentovale.kernel.history.StoreRevision;
 
 /**
@@ -29,4 +30,18 @@
     public ObjectPage(List<ObjectEntry> entries, boolean hasMore, StoreRevision revision) {
         this(entries, hasMore, revision, true);
     }
+
+    /**
+     * Returns the entries whose beginning is certain. The list goes on after the last of them.
+     *
+     * @param known tells whether the content of an object is known, so that it ends where it seems to end
+     * @return all entries of a certain page, otherwise those up to the first that is not known
+     */
+    public List<ObjectEntry> certainEntries(Predicate<ObjectEntry> known) {
+        if (certain) {
+            return entries;
+        }
+        long knownCount = entries.stream().takeWhile(known).count();
+        return entries.stream().limit(knownCount + 1).toList();
+    }
 }
--- a/kernel/src/main/java/org/pimentovale/kernel/history/SilenceLimit.java
+++ b/kernel/src/main/java/org/pimentovale/kernel/history/SilenceLimit.java
@@ -5,8 +5,8 @@
  * a limit after the silence begins.
  *
  * <p>A connection may go silent before the head of a response or within its body. Before the head, a watch ends after
- * its wait and {@link #RESPONSE_MARGIN_MS}; within the body, after {@link #BODY_SILENCE_MS}. The next request uses a new
- * connection and does not wait. Immutable and thread safe.
+ * its wait and {@link #RESPONSE_MARGIN_MS}; within the body, after {@link #BODY_SILENCE_MS}. The next request uses a
+ * new connection and does not wait. Immutable and thread safe.
  *
  * @param limitMs the time after which a change has to be known, in milliseconds
  */
--- a/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
+++ b/standin/src/main/java/org/pimentovale/standin/fleet/FleetStoreStandIn.java
@@ -388,15 +388,28 @@
 
     private void list(HttpServerRequest request, String kind, String after) {
         listedKinds.add(kind);
+        request.response().end(page(kind, after));
+    }
+
+    /**
+     * Returns the first page of the list of a kind.
+     *
+     * @param kind the kind of the objects
+     * @return the page as it is sent
+     */
+    public synchronized String listText(String kind) {
+        return page(kind, "").toString();
+    }
+
+    private Buffer page(String kind, String after) {
         JsonArray items = new JsonArray();
         Map<String, JsonObject> remaining = objects(kind).tailMap(after, after.isEmpty());
         List<JsonObject> objects = List.copyOf(remaining.values());
         objects.stream().limit(withinAnswer(objects)).forEach(items::add);
-        request.response()
-                .end(encode(new JsonObject()
-                        .put("items", items)
-                        .put("hasMore", objects.size() > items.size())
-                        .put("currentRev", revision)));
+        return encode(new JsonObject()
+                .put("items", items)
+                .put("hasMore", objects.size() > items.size())
+                .put("currentRev", revision));
     }
 
     private boolean completeWatchIfChanged(PendingWatch watch) {
--- a/tool/src/main/java/org/pimentovale/tool/ConfigurationSource.java
+++ b/tool/src/main/java/org/pimentovale/tool/ConfigurationSource.java
@@ -6,7 +6,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
@@ -14,7 +16,6 @@
 import org.pimentovale.error.ServingException;
 import org.pimentovale.gateway.port.ObjectEntry;
 import org.pimentovale.gateway.port.ObjectKind;
-import org.pimentovale.gateway.port.ObjectPage;
 import org.pimentovale.gateway.port.ObjectReader;
 import org.pimentovale.gateway.port.PlatformStore;
 import org.pimentovale.gateway.port.ServingPlatform;
@@ -92,38 +93,52 @@
         TimedHttpClient client = new TimedHttpClient(
                 vertx, vertx.createHttpClient(), ErrorCode.STORE_UNAVAILABLE, BodyLimit.STORED_OBJECTS);
         PlatformStore store = platform.openStore(client, address, (kind, reason, name, detail) -> {});
-        return find(store, ObjectKind.CONFIGURATION, platform.objectReader().configurationName())
-                .compose(entry -> countEndpoints(store, Optional.empty(), new HashMap<>())
-                        .map(counts -> new Loaded(platform.objectReader().configuration(entry.value()), counts)));
+        return list(store, ObjectKind.CONFIGURATION)
+                .map(this::findConfiguration)
+                .compose(configuration -> list(store, ObjectKind.ENDPOINTS)
+                        .map(endpoints -> new Loaded(configuration, countEndpoints(endpoints))));
     }
 
-    private static Future<ObjectEntry> find(PlatformStore store, ObjectKind kind, String name) {
-        return store.list(kind, Optional.empty()).map(page -> page.entries().stream()
-                .filter(entry -> entry.name().equals(name))
+    private ServingConfiguration findConfiguration(List<ObjectEntry> entries) {
+        ObjectReader reader = platform.objectReader();
+        return entries.stream()
+                .filter(entry -> entry.name().equals(reader.configurationName()))
                 .findFirst()
-                .orElseThrow(() -> invalid("the store holds no configuration")));
+                .map(entry -> reader.configuration(entry.value().parse()))
+                .orElseThrow(() -> invalid("the store holds no configuration"));
+    }
+
+    private static Future<List<ObjectEntry>> list(PlatformStore store, ObjectKind kind) {
+        return list(store, kind, Optional.empty(), new ArrayList<>());
     }
 
-    private Future<Map<String, Integer>> countEndpoints(
-            PlatformStore store, Optional<String> after, Map<String, Integer> counts) {
-        return store.list(ObjectKind.ENDPOINTS, after).compose(page -> {
-            page.entries().forEach(entry -> count(entry, counts));
-            return page.hasMore() && !page.entries().isEmpty()
-                    ? countEndpoints(store, Optional.of(lastName(page)), counts)
-                    : Future.succeededFuture(counts);
+    private static Future<List<ObjectEntry>> list(
+            PlatformStore store, ObjectKind kind, Optional<String> after, List<ObjectEntry> listed) {
+        return store.list(kind, after).compose(page -> {
+            List<ObjectEntry> entries = page.certainEntries(entry -> false);
+            listed.addAll(entries);
+            return page.hasMore() && !entries.isEmpty()
+                    ? list(
+                            store,
+                            kind,
+                            Optional.of(entries.get(entries.size() - 1).name()),
+                            listed)
+                    : Future.succeededFuture(listed);
         });
     }
 
+    private Map<String, Integer> countEndpoints(List<ObjectEntry> entries) {
+        Map<String, Integer> counts = new HashMap<>();
+        entries.forEach(entry -> count(entry, counts));
+        return counts;
+    }
+
     private void count(ObjectEntry entry, Map<String, Integer> counts) {
         ObjectReader reader = platform.objectReader();
         try {
-            counts.merge(reader.endpoint(entry.name(), entry.value()).service(), 1, Integer::sum);
+            counts.merge(reader.endpoint(entry.name(), entry.value().parse()).service(), 1, Integer::sum);
         } catch (ServingException unusable) {
             // An entry of another writer names no endpoint; gateways skip it as well.
         }
     }
-
-    private static String lastName(ObjectPage page) {
-        return page.entries().get(page.entries().size() - 1).name();
-    }
 }
