FleetStoreStandInTest: its client stays reachable; calls and small objects are bounded in one place each

Cause: the test created a client for each call and kept no reference, and Vert.x closes a client that the garbage collector finds unreachable. No assertion changed.

--- a/standin/src/test/java/org/pimentovale/standin/fleet/FleetStoreStandInTest.java
+++ b/standin/src/test/java/org/pimentovale/standin/fleet/FleetStoreStandInTest.java
@@ -4,6 +4,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
 import java.util.concurrent.CompletableFuture;
@@ -19,6 +20,9 @@
 
     private final Vertx vertx = Vertx.vertx();
     private final FleetStoreStandIn store = new FleetStoreStandIn(vertx);
+    /** A client that nothing refers to is closed by the garbage collector, also while its calls are in progress. */
+    private final HttpClient client = vertx.createHttpClient();
+
     private int port;
     private long orderedAt;
 
@@ -48,8 +52,7 @@
     }
 
     private Future<Answer> send(HttpMethod method, String uri, JsonObject document) {
-        return vertx.createHttpClient()
-                .request(method, port, "127.0.0.1", uri)
+        return client.request(method, port, "127.0.0.1", uri)
                 .compose(request -> request.send(document.toBuffer()))
                 .compose(response -> response.body()
                         .map(body -> new Answer(
--- a/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
+++ b/store/src/main/java/org/pimentovale/store/http/TimedHttpClient.java
@@ -134,6 +134,20 @@
         return promise.future();
     }
 
+    /**
+     * A call whose request has a connection.
+     *
+     * @param identifier identifies the call on its connection, empty if the client does not
+     * @param written whether all bytes of the request have been passed to the operating system
+     * @param timer ends the call
+     * @param reservation the memory of the response
+     */
+    private record SentCall(
+            Optional<String> identifier,
+            AtomicBoolean written,
+            CallTimer timer,
+            ReceivedMemory.Reservation reservation) {}
+
     private void send(HttpClientRequest request, HttpCall httpCall, Promise<HttpResponse> promise, CallTimer timer) {
         // The call ended while it waited for a pooled connection; it must not be sent any more.
         if (promise.future().isComplete()) {
@@ -143,11 +157,10 @@
         promise.future().onFailure(failure -> request.reset());
         Optional<String> callId = lastCallId.map(last -> Long.toString(last.incrementAndGet()));
         callId.ifPresent(identifier -> request.putHeader(CALL_ID, identifier));
-        AtomicBoolean written = new AtomicBoolean();
-        ReceivedMemory.Reservation reservation = memory.newReservation();
+        SentCall sent = new SentCall(callId, new AtomicBoolean(), timer, memory.newReservation());
         request.response()
                 .onSuccess(response -> timer.noteHead())
-                .compose(response -> read(response, callId, written, timer, reservation))
+                .compose(response -> read(response, sent))
                 .onComplete(result -> {
                     if (result.succeeded()) {
                         promise.tryComplete(result.result());
@@ -155,28 +168,23 @@
                         promise.tryFail(toServingException(result.cause()));
                     }
                 })
-                .onComplete(handled -> reservation.release());
-        promise.future().onFailure(failure -> reservation.release());
+                .onComplete(handled -> sent.reservation().release());
+        promise.future().onFailure(failure -> sent.reservation().release());
         Future<Void> end =
                 httpCall.body().isPresent() ? request.end(httpCall.body().get()) : request.end();
-        end.onSuccess(ended -> written.set(true));
+        end.onSuccess(ended -> sent.written().set(true));
     }
 
-    private Future<HttpResponse> read(
-            HttpClientResponse response,
-            Optional<String> callId,
-            AtomicBoolean written,
-            CallTimer timer,
-            ReceivedMemory.Reservation reservation) {
+    private Future<HttpResponse> read(HttpClientResponse response, SentCall sent) {
         if (!FinalStatus.isValid(response.statusCode())) {
             return Future.failedFuture(
                     ServingException.unknown(failureCode, "invalid status " + response.statusCode()));
         }
-        if (!belongsTo(callId, response)) {
+        if (!belongsTo(sent.identifier(), response)) {
             return Future.failedFuture(
                     ServingException.unknown(failureCode, "the response belongs to an earlier call on the connection"));
         }
-        return readBody(response, written, timer, reservation);
+        return readBody(response, sent);
     }
 
     /** Tells whether a response is that of a call. One without identifier is from a server that returns none. */
@@ -185,20 +193,16 @@
         return callId.isEmpty() || returned == null || returned.equals(callId.get());
     }
 
-    private Future<HttpResponse> readBody(
-            HttpClientResponse response,
-            AtomicBoolean written,
-            CallTimer timer,
-            ReceivedMemory.Reservation reservation) {
+    private Future<HttpResponse> readBody(HttpClientResponse response, SentCall sent) {
         BodyFraming framing = framingOf(response);
         if (bodyLimit.needsMarkedEnd() && !framing.marksEnd()) {
             return Future.failedFuture(
                     ServingException.unknown(failureCode, "nothing but the connection marks the end of the body"));
         }
         Promise<HttpResponse> complete = Promise.promise();
-        BoundedBody body = bodyLimit.newBody(reservation);
+        BoundedBody body = bodyLimit.newBody(sent.reservation());
         response.handler(part -> {
-            timer.noteBytes();
+            sent.timer().noteBytes();
             BoundedBody.Outcome outcome = append(body, part);
             if (outcome != BoundedBody.Outcome.APPENDED) {
                 complete.tryFail(refusal(outcome));
@@ -206,7 +210,8 @@
         });
         response.exceptionHandler(complete::tryFail);
         response.endHandler(ended -> {
-            ResponseEnd end = judge(response.statusCode(), framing, written.get(), body.content());
+            ResponseEnd end =
+                    judge(response.statusCode(), framing, sent.written().get(), body.content());
             if (end == ResponseEnd.WHOLE) {
                 complete.tryComplete(new HttpResponse(response.statusCode(), response.headers(), body.content()));
             } else {
