Entries within a budget and reserved memory are each one class

PartialList and the objects in force dropped long contents in the same way, and ReceivedMemory counted as BodyMemory does. No decision changed.

--- a/gateway/src/main/java/org/pimentovale/gateway/feed/RetainedObjects.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/BudgetedEntries.java
@@ -1,7 +1,7 @@
 package org.pimentovale.gateway.feed;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,22 +10,22 @@
 import org.pimentovale.kernel.limit.ContentBudget;
 
 /**
- * The objects of a kind that are in force, with their content as far as a budget allows.
+ * Objects of a kind by their names, with their content as far as a budget allows: the longest contents go first.
  *
- * <p>Their content is needed only after a restore of the store, to tell other gateways of it. Invariant: all content
- * fits the budget. Not thread safe; used on one event loop.
+ * <p>Invariants: each name occurs once; all content fits the budget. Not thread safe; used on one event loop.
  */
-final class RetainedObjects {
+final class BudgetedEntries {
     private final ContentBudget budget;
-    private final Map<String, ObjectEntry> entries = new HashMap<>();
+    private final Map<String, ObjectEntry> entries = new LinkedHashMap<>();
     private long contentBytes;
+    private int droppedContents;
 
     /**
      * Creates an empty set of objects.
      *
      * @param budget the memory for their content
      */
-    RetainedObjects(ContentBudget budget) {
+    BudgetedEntries(ContentBudget budget) {
         this.budget = budget;
     }
 
@@ -33,6 +33,15 @@
         return Optional.ofNullable(entries.get(name));
     }
 
+    List<ObjectEntry> all() {
+        return List.copyOf(entries.values());
+    }
+
+    /** Returns how often an object lost its content for want of memory. */
+    int droppedContents() {
+        return droppedContents;
+    }
+
     void put(ObjectEntry entry) {
         remove(entry.name());
         entries.put(entry.name(), entry);
@@ -58,9 +67,12 @@
     private void dropLongestContents() {
         int longestKept = budget.longestKept(
                 entries.values().stream().map(entry -> entry.value().bytes()).toList());
-        entries.replaceAll((name, entry) -> entry.value().bytes() > longestKept ? entry.withoutContent() : entry);
-        contentBytes = entries.values().stream()
-                .mapToLong(entry -> entry.value().bytes())
-                .sum();
+        for (ObjectEntry entry : all()) {
+            if (entry.value().bytes() > longestKept) {
+                entries.put(entry.name(), entry.withoutContent());
+                contentBytes -= entry.value().bytes();
+                droppedContents++;
+            }
+        }
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/FeedObjects.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/FeedObjects.java
@@ -23,7 +23,8 @@
     private final FeedListener listener;
     private final MonotonicClock clock;
     private final FeedLog log;
-    private final RetainedObjects entries;
+    /** Their content is needed only after a restore of the store, to tell other gateways of it. */
+    private final BudgetedEntries entries;
 
     /**
      * Creates an empty set of objects.
@@ -47,7 +48,7 @@
         this.listener = listener;
         this.clock = clock;
         this.log = log;
-        this.entries = new RetainedObjects(budget);
+        this.entries = new BudgetedEntries(budget);
     }
 
     /** Replaces the objects by a complete list, as far as the history accepts it. */
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/PartialList.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/PartialList.java
@@ -1,8 +1,6 @@
 package org.pimentovale.gateway.feed;
 
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
 import org.pimentovale.gateway.port.ObjectEntry;
@@ -20,12 +18,9 @@
  * the budget. Not thread safe; used on one event loop.
  */
 final class PartialList {
-    private final ContentBudget budget;
-    private final Map<String, ObjectEntry> entries = new LinkedHashMap<>();
+    private final BudgetedEntries entries;
     private Optional<String> lastName = Optional.empty();
     private StoreRevision revision = StoreRevision.NONE;
-    private long contentBytes;
-    private int droppedContents;
 
     /**
      * Creates an empty list.
@@ -33,7 +28,7 @@
      * @param budget the memory for the content of all entries
      */
     PartialList(ContentBudget budget) {
-        this.budget = budget;
+        this.entries = new BudgetedEntries(budget);
     }
 
     /**
@@ -48,36 +43,18 @@
             revision = page.revision();
         }
         page.certainEntries(known).forEach(this::add);
-        if (budget.isExceededBy(contentBytes)) {
-            dropLongestContents();
-        }
         return revision.era() == page.revision().era();
     }
 
     /** Adds an entry. Of two with the same name, one is a copy within the bytes of another object, and is older. */
     private void add(ObjectEntry entry) {
         lastName = Optional.of(entry.name());
-        ObjectEntry other = entries.get(entry.name());
-        if (other != null && entry.revision().precedes(other.revision())) {
-            return;
-        }
-        contentBytes +=
-                entry.value().bytes() - (other == null ? 0 : other.value().bytes());
-        entries.put(entry.name(), entry);
-    }
-
-    private void dropLongestContents() {
-        int longestKept = budget.longestKept(
-                entries.values().stream().map(entry -> entry.value().bytes()).toList());
-        for (ObjectEntry entry : entries()) {
-            if (entry.value().bytes() > longestKept) {
-                entries.put(entry.name(), entry.withoutContent());
-                droppedContents++;
-            }
+        boolean older = entries.get(entry.name())
+                .filter(other -> entry.revision().precedes(other.revision()))
+                .isPresent();
+        if (!older) {
+            entries.put(entry);
         }
-        contentBytes = entries.values().stream()
-                .mapToLong(entry -> entry.value().bytes())
-                .sum();
     }
 
     /** Returns the name after which the next page starts, empty for the first page. */
@@ -86,12 +63,12 @@
     }
 
     List<ObjectEntry> entries() {
-        return List.copyOf(entries.values());
+        return entries.all();
     }
 
     /** Returns how many entries lost their content for want of memory. */
     int droppedContents() {
-        return droppedContents;
+        return entries.droppedContents();
     }
 
     /** Returns the revision after which further changes may be missing. */
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/ContentMemoryTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/ContentMemoryTest.java
@@ -55,7 +55,7 @@
 
     @Nested
     class ObjectsInForce {
-        private final RetainedObjects objects = new RetainedObjects(BUDGET);
+        private final BudgetedEntries objects = new BudgetedEntries(BUDGET);
 
         private boolean keeps(String name) {
             return !objects.get(name).orElseThrow().value().isRejected();
--- a/store/src/main/java/org/pimentovale/store/http/ReceivedMemory.java
+++ b/store/src/main/java/org/pimentovale/store/http/ReceivedMemory.java
@@ -1,36 +1,30 @@
 package org.pimentovale.store.http;
 
+import org.pimentovale.kernel.limit.BodyMemory;
+
 /**
- * The memory for the response bodies that one client receives at the same time.
+ * The memory for the response bodies that one client receives at the same time, on any event loop.
  *
  * <p>Invariant: the sum of all reservations never exceeds the capacity. Thread safe.
  */
 final class ReceivedMemory {
-    private final long capacityBytes;
-    private long reservedBytes;
+    private final BodyMemory memory;
 
     /** The part of the memory that one response has reserved. */
     final class Reservation {
-        private long bytes;
+        private final BodyMemory.Reservation reservation = memory.newReservation();
 
         /** Reserves memory until the response has the given amount in all; returns false if there is not enough. */
         boolean growTo(long totalBytes) {
-            synchronized (ReceivedMemory.this) {
-                long missingBytes = Math.max(0, totalBytes - bytes);
-                if (missingBytes > capacityBytes - reservedBytes) {
-                    return false;
-                }
-                reservedBytes += missingBytes;
-                bytes += missingBytes;
-                return true;
+            synchronized (memory) {
+                return reservation.growTo(totalBytes);
             }
         }
 
         /** Returns all memory of the response. Further calls change nothing. */
         void release() {
-            synchronized (ReceivedMemory.this) {
-                reservedBytes -= bytes;
-                bytes = 0;
+            synchronized (memory) {
+                reservation.release();
             }
         }
     }
@@ -41,7 +35,7 @@
      * @param capacityBytes the capacity in bytes
      */
     ReceivedMemory(long capacityBytes) {
-        this.capacityBytes = capacityBytes;
+        this.memory = new BodyMemory(capacityBytes);
     }
 
     Reservation newReservation() {
