--- a/gateway/src/main/java/org/pimentovale/gateway/feed/BudgetedEntries.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/BudgetedEntries.java
@@ -18,7 +18,6 @@
     private final ContentBudget budget;
     private final Map<String, ObjectEntry> entries = new LinkedHashMap<>();
     private long contentBytes;
-    private int droppedContents;
 
     /**
      * Creates an empty set of objects.
@@ -37,18 +36,16 @@
         return List.copyOf(entries.values());
     }
 
-    /** Returns how often an object lost its content for want of memory. */
-    int droppedContents() {
-        return droppedContents;
-    }
-
-    void put(ObjectEntry entry) {
+    /**
+     * Adds or replaces an object.
+     *
+     * @return the objects that lost their content for want of memory, without it; the new one may be among them
+     */
+    List<ObjectEntry> put(ObjectEntry entry) {
         remove(entry.name());
         entries.put(entry.name(), entry);
         contentBytes += entry.value().bytes();
-        if (budget.isExceededBy(contentBytes)) {
-            dropLongestContents();
-        }
+        return budget.isExceededBy(contentBytes) ? dropLongestContents() : List.of();
     }
 
     /** Removes an object; returns what it was. */
@@ -64,15 +61,17 @@
         others.forEach(this::remove);
     }
 
-    private void dropLongestContents() {
+    private List<ObjectEntry> dropLongestContents() {
         int longestKept = budget.longestKept(
                 entries.values().stream().map(entry -> entry.value().bytes()).toList());
-        for (ObjectEntry entry : all()) {
-            if (entry.value().bytes() > longestKept) {
-                entries.put(entry.name(), entry.withoutContent());
-                contentBytes -= entry.value().bytes();
-                droppedContents++;
-            }
-        }
+        List<ObjectEntry> dropped = entries.values().stream()
+                .filter(entry -> entry.value().bytes() > longestKept)
+                .map(ObjectEntry::withoutContent)
+                .toList();
+        dropped.forEach(entry -> entries.put(entry.name(), entry));
+        contentBytes = entries.values().stream()
+                .mapToLong(entry -> entry.value().bytes())
+                .sum();
+        return dropped;
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/FeedObjects.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/FeedObjects.java
@@ -14,7 +14,8 @@
 /**
  * The objects of a feed that are in force, and what gateways tell each other of them after the store was restored.
  *
- * <p>Invariant: an object changes only if the feed's history accepts the change. Not thread safe; used on
+ * <p>Invariants: an object changes only if the feed's history accepts the change; the content of all objects in force
+ * fits the budget. Not thread safe; used on
  * one event loop.
  */
 final class FeedObjects {
@@ -23,7 +24,6 @@
     private final FeedListener listener;
     private final MonotonicClock clock;
     private final FeedLog log;
-    /** Their content is needed only after a restore of the store, to tell other gateways of it. */
     private final BudgetedEntries entries;
 
     /**
@@ -137,8 +137,20 @@
                 confirmed.removed().size());
     }
 
+    /**
+     * Puts a state in force. Objects that lose their content for want of memory are passed on without it, so that what
+     * listeners keep of all objects is bounded as well.
+     */
     private void change(ObjectEntry entry) {
-        entries.put(entry);
+        List<ObjectEntry> dropped = entries.put(entry);
+        if (dropped.stream().noneMatch(other -> other.name().equals(entry.name()))) {
+            listener.changed(entry);
+        }
+        dropped.forEach(this::changeWithoutContent);
+    }
+
+    private void changeWithoutContent(ObjectEntry entry) {
+        log.warn("content_dropped", entry.revision(), "name", entry.name());
         listener.changed(entry);
     }
 }
--- a/gateway/src/main/java/org/pimentovale/gateway/feed/PartialList.java
+++ b/gateway/src/main/java/org/pimentovale/gateway/feed/PartialList.java
@@ -21,6 +21,7 @@
     private final BudgetedEntries entries;
     private Optional<String> lastName = Optional.empty();
     private StoreRevision revision = StoreRevision.NONE;
+    private int droppedContents;
 
     /**
      * Creates an empty list.
@@ -53,7 +54,7 @@
                 .filter(other -> entry.revision().precedes(other.revision()))
                 .isPresent();
         if (!older) {
-            entries.put(entry);
+            droppedContents += entries.put(entry).size();
         }
     }
 
@@ -68,7 +69,7 @@
 
     /** Returns how many entries lost their content for want of memory. */
     int droppedContents() {
-        return entries.droppedContents();
+        return droppedContents;
     }
 
     /** Returns the revision after which further changes may be missing. */
--- a/gateway/src/test/java/org/pimentovale/gateway/feed/ContentMemoryTest.java
+++ b/gateway/src/test/java/org/pimentovale/gateway/feed/ContentMemoryTest.java
@@ -3,13 +3,19 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import org.jboss.logging.Logger;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.pimentovale.gateway.port.ObjectChanges;
 import org.pimentovale.gateway.port.ObjectEntry;
+import org.pimentovale.gateway.port.ObjectKind;
 import org.pimentovale.gateway.port.ObjectPage;
 import org.pimentovale.gateway.port.StoredContent;
+import org.pimentovale.kernel.history.ObjectHistory;
 import org.pimentovale.kernel.history.StoreRevision;
 import org.pimentovale.kernel.limit.ContentBudget;
 
@@ -81,4 +87,48 @@
             assertThat(keeps("kept")).isTrue();
         }
     }
+
+    /** Guards against tables that grow with each change, although the content of the objects is within its budget. */
+    @Nested
+    class Changes {
+        private final ObjectHistory history = new ObjectHistory(0);
+        private final List<String> received = new ArrayList<>();
+        private final FeedObjects objects = new FeedObjects(
+                ObjectKind.ENDPOINTS,
+                history,
+                new RecordingListener(),
+                () -> 0,
+                new FeedLog(Logger.getLogger(ContentMemoryTest.class), ObjectKind.ENDPOINTS),
+                BUDGET);
+
+        private final class RecordingListener implements FeedListener {
+            @Override
+            public void listed(List<ObjectEntry> entries, Set<String> retained) {}
+
+            @Override
+            public void changed(ObjectEntry entry) {
+                received.add(entry.name() + (entry.value().isRejected() ? " without content" : ""));
+            }
+
+            @Override
+            public void removed(ObjectEntry entry) {}
+        }
+
+        private void change(ObjectEntry entry) {
+            objects.apply(new ObjectChanges.Change(entry, false));
+        }
+
+        @Test
+        void passOnWhichObjectsAreInForceWithoutTheirContent() {
+            history.acceptList(new StoreRevision(0, 0), List.of(), 0);
+            change(entry("small", 10));
+            change(entry("large", 80));
+            change(entry("larger", 90));
+            change(entry("other", 30));
+
+            assertThat(received)
+                    .containsExactly("small", "large", "larger without content", "other", "large without content")
+                    .inOrder();
+        }
+    }
 }
